--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+BIN := bin
+TOOL := go tool -modfile=tools/go.mod
+PACKAGES := ./...
+SEED ?= 1
+
+.PHONY: build
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+.PHONY: generate
+generate:
+	go build -modfile=tools/go.mod -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	protoc --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=paths=source_relative proto/kumquat/v1/link.proto
+
+.PHONY: fmt
+fmt:
+	$(TOOL) gofumpt -w cmd internal test
+
+.PHONY: lint
+lint:
+	@test -z "$$($(TOOL) gofumpt -l cmd internal test)" || { echo "gofumpt: run make fmt for:"; $(TOOL) gofumpt -l cmd internal test; exit 1; }
+	go vet $(PACKAGES)
+	$(TOOL) staticcheck $(PACKAGES)
+
+# Packages whose tests take rapid's flags.
+RAPID = $(shell go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}} {{end}}{{end}}' $(PACKAGES))
+PLAIN = $(filter-out $(RAPID),$(shell go list $(PACKAGES)))
+# Tests listed in KNOWN-RED.txt, passed over and printed.
+RED = $(shell grep -v '^\#' KNOWN-RED.txt | cut -f1 | paste -sd'|' -)
+SKIP = $(if $(RED),-skip '^($(RED))$$$$')
+
+.PHONY: test
+test:
+	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /' || true
+	go test -race $(SKIP) $(PLAIN)
+	go test -race $(SKIP) $(RAPID) -rapid.seed=$(SEED) -rapid.nofailfile
--- /dev/null
+++ b/internal/config/types.go
@@ -0,0 +1,85 @@
+// Package config is the operators' configuration: its documents, the checks
+// they must pass, the linear history they form and the immutable Config that
+// processes read. It is pure; internal/configstore keeps it in the platform's
+// key-value service and spreads it.
+package config
+
+import (
+	"time"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/zone"
+)
+
+// Config is one checked version of the configuration, never changed after it
+// was built.
+type Config struct {
+	// Version counts accepted changes.
+	Version    uint64
+	Zones      zone.Map
+	Servers    map[machine.ID]machine.Server
+	Workspaces map[string]Workspace
+	// Contracts are ordered: the first that matches a request applies.
+	Contracts []contract.Contract
+	Routing   Routing
+	Limits    Limits
+	Placement Placement
+	// TokenKeys sign resume tokens; the first signs, all verify.
+	TokenKeys []TokenKey
+}
+
+// Workspace is a customer's group of callers.
+type Workspace struct {
+	Name string `yaml:"name" validate:"required"`
+	// APIKeySHA256 lists the hex digests of the keys that authenticate it.
+	APIKeySHA256 []string `yaml:"api_key_sha256" validate:"required,min=1,dive,len=64,hexadecimal"`
+	// Weight is its share of servers under contention.
+	Weight int `yaml:"weight" validate:"min=1,max=1000"`
+	// MaxInFlight bounds its running and queued requests on one gateway.
+	MaxInFlight int `yaml:"max_in_flight" validate:"min=1"`
+	// RetryRatio is the retries allowed for each request, 0 to 1.
+	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
+}
+
+// Routing chooses and tunes the routing policy.
+type Routing struct {
+	// Policy is "kumquat" or one of the baselines "round_robin",
+	// "least_outstanding" and "prefix_hash".
+	Policy string `yaml:"policy" validate:"omitempty,oneof=kumquat round_robin least_outstanding prefix_hash"`
+	// LoadBound is the factor over the mean load at which a preferred server is passed over.
+	LoadBound float64 `yaml:"load_bound" validate:"omitempty,min=1,max=10"`
+	// StaleAfter is the age of a view after which a gateway asks a server before using it.
+	StaleAfter time.Duration `yaml:"stale_after"`
+}
+
+// Limits bound what one gateway holds.
+type Limits struct {
+	// QueueTokens bounds the tokens of work waiting on one gateway.
+	QueueTokens int `yaml:"queue_tokens" validate:"min=0"`
+	// QueueRequests bounds the requests waiting on one gateway.
+	QueueRequests int `yaml:"queue_requests" validate:"min=0"`
+	// HeartbeatEvery is the interval of comment events on an idle stream.
+	HeartbeatEvery time.Duration `yaml:"heartbeat_every"`
+}
+
+// Placement says which work may run on reclaimable instances and what
+// capacity is kept.
+type Placement struct {
+	// InteractiveOnReclaimable allows interactive work on reclaimable instances.
+	InteractiveOnReclaimable bool `yaml:"interactive_on_reclaimable"`
+	// SurviveZoneLoss keeps enough capacity for interactive work when any one
+	// zone's reclaimable instances go at once.
+	SurviveZoneLoss bool `yaml:"survive_zone_loss"`
+	// TargetFirstToken is the 95th percentile target of the time to the first token.
+	TargetFirstToken time.Duration `yaml:"target_first_token"`
+	// TargetBetweenTokens is the 95th percentile target between tokens.
+	TargetBetweenTokens time.Duration `yaml:"target_between_tokens"`
+}
+
+// TokenKey is a key for resume tokens.
+type TokenKey struct {
+	ID string `yaml:"id" validate:"required"`
+	// SecretHex is at least 32 bytes in hexadecimal.
+	SecretHex string `yaml:"secret_hex" validate:"required,min=64,hexadecimal"`
+}
--- /dev/null
+++ b/internal/contract/verdict.go
@@ -0,0 +1,124 @@
+// Package contract holds what kumquatyard promises a caller about a request:
+// its class, its deadline, and the verdict that says whether it may have run.
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says whether a request may have run on a backend server.
+type Verdict uint8
+
+const (
+	// NotRun means that no byte of the request can have reached a server, or
+	// that the server is known not to have acted on it.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that the outcome is unknown.
+	MayHaveRun
+	// Ran means that the server is known to have run the request.
+	Ran
+)
+
+// String returns the verdict's name on the wire.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not_run"
+	case MayHaveRun:
+		return "may_have_run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// ErrorKind classifies a refusal by what the caller can do about it.
+type ErrorKind uint8
+
+const (
+	// KindInvalid is a malformed request.
+	KindInvalid ErrorKind = iota + 1
+	// KindUnauthorized is a missing or unknown API key.
+	KindUnauthorized
+	// KindConflict is an idempotency key that is in use or was used for another request.
+	KindConflict
+	// KindTooLarge is a body over the limit.
+	KindTooLarge
+	// KindOverloaded is a refusal by admission control.
+	KindOverloaded
+	// KindUnavailable means that no server or no platform service could be reached.
+	KindUnavailable
+	// KindDeadline means that the request's deadline passed or cannot be met.
+	KindDeadline
+	// KindNotFound is a path, model or stream that is not configured.
+	KindNotFound
+)
+
+var kindNames = map[ErrorKind]string{
+	KindInvalid:      "invalid_request",
+	KindUnauthorized: "unauthorized",
+	KindConflict:     "conflict",
+	KindTooLarge:     "too_large",
+	KindOverloaded:   "overloaded",
+	KindUnavailable:  "unavailable",
+	KindDeadline:     "deadline",
+	KindNotFound:     "not_found",
+}
+
+// String returns the kind's name on the wire.
+func (k ErrorKind) String() string { return kindNames[k] }
+
+var kindStatuses = map[ErrorKind]int{
+	KindInvalid:      400,
+	KindUnauthorized: 401,
+	KindConflict:     409,
+	KindTooLarge:     413,
+	KindOverloaded:   429,
+	KindUnavailable:  503,
+	KindDeadline:     504,
+	KindNotFound:     404,
+}
+
+// Status returns the HTTP status that the kind is reported with.
+func (k ErrorKind) Status() int {
+	if status, ok := kindStatuses[k]; ok {
+		return status
+	}
+	return 500
+}
+
+// Error is a refusal or failure of a request together with its verdict.
+type Error struct {
+	Kind    ErrorKind
+	Verdict Verdict
+	Message string
+	// RetryAfter is when the caller may try again; 0 means that trying again
+	// unchanged does not help.
+	RetryAfter time.Duration
+	// Err is the cause, if any.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s (%s): %s", e.Kind, e.Verdict, e.Message)
+	}
+	return fmt.Sprintf("%s (%s): %s: %v", e.Kind, e.Verdict, e.Message, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// VerdictOf returns the verdict carried by err. An error without one yields
+// MayHaveRun, the only verdict that is never false.
+func VerdictOf(err error) Verdict {
+	var e *Error
+	if errors.As(err, &e) && e.Verdict != 0 {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,57 @@
+// Package process is the frame that all binaries share: flags, checked
+// settings, signals and exit codes.
+package process
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/settings"
+)
+
+// Version is the release, set at link time.
+var Version = "0.1.0-dev"
+
+// Exit codes of the daemons.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+)
+
+// Main parses the daemon's flags, loads its settings into s, runs it until
+// SIGTERM or SIGINT and returns its exit code.
+func Main(name, description string, s any, run func(ctx context.Context) error) int {
+	file, check := parse(name, description)
+	if err := settings.Load(file, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return settings.ExitInvalid
+	}
+	if check {
+		fmt.Println("settings are valid")
+		return ExitOK
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := run(ctx); err != nil {
+		logrus.WithField("process", name).WithError(err).Error("stopped with an error")
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+func parse(name, description string) (file string, check bool) {
+	file = "/etc/kumquatyard/" + name + ".yaml"
+	flaggy.SetName(name)
+	flaggy.SetDescription(description)
+	flaggy.SetVersion(Version)
+	flaggy.String(&file, "c", "config", "settings file (YAML)")
+	flaggy.Bool(&check, "", "check-settings", "check the settings file and exit")
+	flaggy.Parse()
+	return file, check
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,125 @@
+// Package telemetry gives every process the same logs, metrics, health
+// endpoints and traces.
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	semconv "go.opentelemetry.io/otel/semconv/v1.26.0"
+)
+
+// Settings are the telemetry keys of each process's settings file.
+type Settings struct {
+	// Listen is the address of /metrics, /healthz and /readyz.
+	Listen string `yaml:"listen" validate:"omitempty,hostname_port"`
+	// LogLevel is a logrus level.
+	LogLevel string `yaml:"log_level" validate:"omitempty,oneof=debug info warn error"`
+	// OTLPEndpoint is host:port of a collector that takes OTLP over HTTP.
+	OTLPEndpoint string `yaml:"otlp_endpoint" validate:"omitempty,hostname_port"`
+	// TraceFile receives spans when there is no collector.
+	TraceFile string `yaml:"trace_file"`
+	// TraceRatio is the share of requests without a sampled parent that are traced.
+	TraceRatio float64 `yaml:"trace_ratio" validate:"min=0,max=1"`
+}
+
+const headerTimeout = 5 * time.Second
+
+// NewLogger returns a logger that writes one key=value line for each event.
+func NewLogger(process, id, level string) *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(os.Stderr)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		logger.SetLevel(parsed)
+	}
+	return logger.WithFields(logrus.Fields{"process": process, "id": id})
+}
+
+// Health is the readiness of a process. The zero Health is not ready.
+type Health struct{ ready atomic.Bool }
+
+// SetReady changes what /readyz answers.
+func (h *Health) SetReady(ready bool) { h.ready.Store(ready) }
+
+// Ready reports whether the process takes work.
+func (h *Health) Ready() bool { return h.ready.Load() }
+
+// Serve answers /metrics, /healthz and /readyz until ctx is done.
+func Serve(ctx context.Context, listen string, health *Health, extra map[string]http.Handler) error {
+	if listen == "" {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { writeReady(w, health) })
+	for pattern, handler := range extra {
+		mux.Handle(pattern, handler)
+	}
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return fmt.Errorf("telemetry: %w", err)
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("telemetry: %w", err)
+	}
+	return nil
+}
+
+func writeReady(w http.ResponseWriter, health *Health) {
+	if !health.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprintln(w, "not ready")
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// StartTracing installs the global tracer provider and W3C propagation. The
+// returned function flushes and stops it.
+func StartTracing(ctx context.Context, process, id string, s Settings) (func(context.Context) error, error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	exporter, err := newExporter(ctx, s)
+	if err != nil || exporter == nil {
+		return func(context.Context) error { return nil }, err
+	}
+	provider := sdktrace.NewTracerProvider(
+		sdktrace.WithBatcher(exporter),
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TraceRatio))),
+		sdktrace.WithResource(resource.NewSchemaless(semconv.ServiceName(process), semconv.ServiceInstanceID(id))),
+	)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+func newExporter(ctx context.Context, s Settings) (sdktrace.SpanExporter, error) {
+	if s.OTLPEndpoint != "" {
+		return otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(s.OTLPEndpoint), otlptracehttp.WithInsecure())
+	}
+	if s.TraceFile == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(s.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("trace file: %w", err)
+	}
+	return stdouttrace.New(stdouttrace.WithWriter(file))
+}
