--- /dev/null
+++ b/internal/link/errors.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"kumquatyard/internal/contract"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+func notRun(err error, retryAfter time.Duration) *contract.Error {
+	return &contract.Error{
+		Kind: contract.KindUnavailable, Verdict: contract.NotRun,
+		Message: "link: not sent", RetryAfter: retryAfter, Err: err,
+	}
+}
+
+func mayHaveRun(ctx context.Context, err error) *contract.Error {
+	kind := contract.KindUnavailable
+	if ctx.Err() != nil {
+		kind = contract.KindDeadline
+	}
+	return &contract.Error{Kind: kind, Verdict: contract.MayHaveRun, Message: "link: no answer", Err: err}
+}
+
+// errorResponse puts a handler's error into a Response. The kind travels as
+// the prefix of the error text.
+func errorResponse(err error) *pb.Response {
+	var e *contract.Error
+	if !errors.As(err, &e) {
+		e = &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.VerdictOf(err), Message: err.Error()}
+	}
+	return &pb.Response{
+		Error:        fmt.Sprintf("%s: %s", e.Kind, e.Message),
+		Verdict:      pb.Verdict(e.Verdict),
+		RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
+	}
+}
+
+// responseError returns the error that resp carries, or nil.
+func responseError(resp *pb.Response) error {
+	if resp.GetError() == "" {
+		return nil
+	}
+	e := &contract.Error{
+		Kind:       contract.KindUnavailable,
+		Verdict:    contract.Verdict(resp.GetVerdict()),
+		Message:    resp.GetError(),
+		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
+	}
+	name, message, found := strings.Cut(resp.GetError(), ": ")
+	if kind, known := kindByName(name); found && known {
+		e.Kind, e.Message = kind, message
+	}
+	return e
+}
+
+func kindByName(name string) (contract.ErrorKind, bool) {
+	for kind := contract.KindInvalid; kind.String() != ""; kind++ {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,5 +1,6 @@
 // Package link carries requests between the processes of kumquatyard: yamux
-// sessions over mutual TLS, one protobuf request and one response per stream.
+// sessions over mutual TLS. A stream carries one protobuf request and its
+// response at a time and is used again for the next.
 package link
 
 import (
@@ -36,4 +37,6 @@
 	CertFile string `yaml:"cert_file" validate:"required"`
 	KeyFile  string `yaml:"key_file" validate:"required"`
 	CAFile   string `yaml:"ca_file" validate:"required"`
+	// Traffic counts the bytes of the process's links when it is set.
+	Traffic *Traffic `yaml:"-" validate:"-"`
 }
--- /dev/null
+++ b/internal/link/tls.go
@@ -0,0 +1,121 @@
+package link
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// credentials holds a process's certificate and the CA that its peers must
+// descend from. Files that changed are read again at the next handshake.
+type credentials struct {
+	settings Settings
+
+	mu     sync.Mutex
+	stamps [3]fileStamp
+	cert   *tls.Certificate
+	roots  *x509.CertPool
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+func newCredentials(s Settings) (*credentials, error) {
+	c := &credentials{settings: s}
+	_, _, err := c.current()
+	return c, err
+}
+
+// current returns the certificate and CA in force. When changed files cannot
+// be used, the last good ones stay in force.
+func (c *credentials) current() (*tls.Certificate, *x509.CertPool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	stamps, err := c.stat()
+	if err == nil && (c.cert == nil || stamps != c.stamps) {
+		err = c.load(stamps)
+	}
+	if c.cert == nil {
+		return nil, nil, err
+	}
+	return c.cert, c.roots, nil
+}
+
+func (c *credentials) stat() (stamps [3]fileStamp, err error) {
+	for i, name := range []string{c.settings.CertFile, c.settings.KeyFile, c.settings.CAFile} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamps, fmt.Errorf("link certificates: %w", err)
+		}
+		stamps[i] = fileStamp{modified: info.ModTime(), size: info.Size()}
+	}
+	return stamps, nil
+}
+
+func (c *credentials) load(stamps [3]fileStamp) error {
+	cert, err := tls.LoadX509KeyPair(c.settings.CertFile, c.settings.KeyFile)
+	if err != nil {
+		return fmt.Errorf("link certificate: %w", err)
+	}
+	pem, err := os.ReadFile(c.settings.CAFile)
+	if err != nil {
+		return fmt.Errorf("link CA: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return fmt.Errorf("link CA: %s holds no PEM certificate", c.settings.CAFile)
+	}
+	c.cert, c.roots, c.stamps = &cert, roots, stamps
+	return nil
+}
+
+// tlsConfig verifies the peer's chain against the CA and leaves the server
+// name out: processes are addressed by IP number and known by common name.
+func (c *credentials) tlsConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		SessionTicketsDisabled: true,
+		InsecureSkipVerify:     true, // verify takes its place.
+		ClientAuth:             tls.RequireAnyClientCert,
+		VerifyConnection:       c.verify,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, _, err := c.current()
+			return cert, err
+		},
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _, err := c.current()
+			return cert, err
+		},
+	}
+}
+
+func (c *credentials) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("link: peer sent no certificate")
+	}
+	_, roots, err := c.current()
+	if err != nil {
+		return err
+	}
+	opts := x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: x509.NewCertPool(),
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	}
+	for _, cert := range state.PeerCertificates[1:] {
+		opts.Intermediates.AddCert(cert)
+	}
+	_, err = state.PeerCertificates[0].Verify(opts)
+	return err
+}
+
+// peerName returns the common name of the peer's certificate.
+func peerName(conn *tls.Conn) string {
+	return conn.ConnectionState().PeerCertificates[0].Subject.CommonName
+}
