--- /dev/null
+++ b/internal/answer/token.go
@@ -0,0 +1,107 @@
+package answer
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/machine"
+)
+
+// Position says which stream a resume token is for.
+type Position struct {
+	RequestID string     `json:"rid"`
+	Workspace string     `json:"ws"`
+	Pool      string     `json:"pool"`
+	Server    machine.ID `json:"srv"`
+	Attempt   uint32     `json:"att"`
+}
+
+type claims struct {
+	Position
+	jwt.RegisteredClaims
+}
+
+// ErrToken is returned for a resume token that is malformed, forged or expired.
+var ErrToken = errors.New("invalid resume token")
+
+// Signer signs and verifies resume tokens. The first key signs, all keys
+// verify, so that a key is rotated by adding the new one in front and removing
+// the old one a token lifetime later.
+type Signer struct {
+	keys     map[string][]byte
+	first    string
+	lifetime time.Duration
+}
+
+// NewSigner returns a Signer for keys.
+func NewSigner(keys []config.TokenKey, lifetime time.Duration) (*Signer, error) {
+	if len(keys) == 0 {
+		return nil, errors.New("no token key is configured")
+	}
+	s := &Signer{keys: make(map[string][]byte, len(keys)), first: keys[0].ID, lifetime: lifetime}
+	for _, k := range keys {
+		secret, err := hex.DecodeString(k.SecretHex)
+		if err != nil {
+			return nil, fmt.Errorf("token key %s: %w", k.ID, err)
+		}
+		s.keys[k.ID] = secret
+	}
+	return s, nil
+}
+
+// Sign returns the signed part of the event ids of one attempt. The offset is
+// left out of it: a caller may resume its own stream from any offset, and so
+// one signature serves every event of the attempt.
+func (s *Signer) Sign(p Position, now time.Time) (string, error) {
+	token := jwt.NewWithClaims(jwt.SigningMethodHS256, claims{
+		Position:         p,
+		RegisteredClaims: jwt.RegisteredClaims{ExpiresAt: jwt.NewNumericDate(now.Add(s.lifetime))},
+	})
+	token.Header["kid"] = s.first
+	return token.SignedString(s.keys[s.first])
+}
+
+const offsetSeparator = "~"
+
+// EventID joins the signed part and the index of the next token.
+func EventID(signed string, next uint32) string {
+	return signed + offsetSeparator + strconv.FormatUint(uint64(next), 10)
+}
+
+// Verify returns the position and the index of the next token of an event id.
+func (s *Signer) Verify(eventID string, now time.Time) (Position, uint32, error) {
+	signed, suffix, ok := strings.Cut(eventID, offsetSeparator)
+	if !ok {
+		return Position{}, 0, ErrToken
+	}
+	next, err := strconv.ParseUint(suffix, 10, 32)
+	if err != nil {
+		return Position{}, 0, ErrToken
+	}
+	var c claims
+	parser := jwt.NewParser(
+		jwt.WithValidMethods([]string{jwt.SigningMethodHS256.Alg()}),
+		jwt.WithTimeFunc(func() time.Time { return now }),
+		jwt.WithExpirationRequired(),
+		jwt.WithStrictDecoding(),
+	)
+	if _, err := parser.ParseWithClaims(signed, &c, s.key); err != nil {
+		return Position{}, 0, fmt.Errorf("%w: %w", ErrToken, err)
+	}
+	return c.Position, uint32(next), nil
+}
+
+func (s *Signer) key(t *jwt.Token) (any, error) {
+	id, _ := t.Header["kid"].(string)
+	if secret, ok := s.keys[id]; ok {
+		return secret, nil
+	}
+	return nil, fmt.Errorf("unknown key %q", id)
+}
