--- /dev/null
+++ b/internal/admit/queue.go
@@ -0,0 +1,286 @@
+package admit
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"kumquatyard/internal/contract"
+)
+
+// Indexes of the classes.
+const (
+	interactive = iota
+	deferrable
+)
+
+const (
+	// deferrableShare is the part of the work that deferrable requests get
+	// while interactive ones wait as well.
+	deferrableShare = 0.1
+	// reservedShare is the part of the slots that deferrable requests leave free.
+	reservedShare = 0.125
+)
+
+func classOf(p contract.Priority) int {
+	if p == contract.Deferrable {
+		return deferrable
+	}
+	return interactive
+}
+
+// entry is a queued request.
+type entry struct {
+	Request
+	class int
+	// position in the heap of deadlines; -1 without a deadline.
+	position int
+}
+
+// flow is a workspace's queue in one class.
+type flow struct {
+	weight  float64
+	entries []*entry
+	tokens  int
+	// start is the start tag of the next request.
+	start float64
+}
+
+// class schedules flows by start-time fair queueing (Goyal, Vin, Cheng, 1996):
+// a request's start tag is the larger of the virtual time and the finish tag
+// of the flow's request before it, and the smallest start tag goes first.
+type class struct {
+	flows    map[string]*flow
+	virtual  float64
+	requests int
+	tokens   int
+}
+
+func newClass() class { return class{flows: make(map[string]*flow)} }
+
+func (c *class) flow(workspace string, weight float64) *flow {
+	f := c.flows[workspace]
+	if f == nil {
+		f = &flow{start: c.virtual}
+		c.flows[workspace] = f
+	}
+	f.weight = weight
+	if len(f.entries) == 0 {
+		f.start = max(f.start, c.virtual)
+	}
+	return f
+}
+
+// charge accounts for a request of a flow that starts now.
+func (c *class) charge(workspace string, weight float64, tokens int) {
+	f := c.flow(workspace, weight)
+	c.virtual = max(c.virtual, f.start)
+	f.start += float64(tokens) / f.weight
+}
+
+// next returns the entry with the smallest start tag, ties by id.
+func (c *class) next() *entry {
+	var best *flow
+	for _, f := range c.flows {
+		if len(f.entries) == 0 {
+			continue
+		}
+		if best == nil || f.start < best.start ||
+			(f.start == best.start && f.entries[0].ID < best.entries[0].ID) {
+			best = f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.entries[0]
+}
+
+// forget drops the flows that are owed and owe nothing.
+func (c *class) forget() {
+	for name, f := range c.flows {
+		if len(f.entries) == 0 && f.start <= c.virtual {
+			delete(c.flows, name)
+		}
+	}
+}
+
+func (c *Controller) enqueue(r Request) {
+	e := &entry{Request: r, class: classOf(r.Priority), position: -1}
+	class := &c.classes[e.class]
+	f := class.flow(r.Workspace, c.weight(r.Workspace))
+	f.entries = append(f.entries, e)
+	f.tokens += r.Tokens
+	class.requests++
+	class.tokens += r.Tokens
+	c.tokens += r.Tokens
+	c.queued[r.ID] = e
+	u := c.usageOf(r.Workspace)
+	u.inFlight++
+	u.queuedTokens += r.Tokens
+	if !r.Deadline.IsZero() {
+		heap.Push(&c.expiries, e)
+	}
+}
+
+// remove takes e out of the queue.
+func (c *Controller) remove(e *entry) {
+	class := &c.classes[e.class]
+	f := class.flows[e.Workspace]
+	if f.entries[0] == e {
+		f.entries[0] = nil
+		f.entries = f.entries[1:]
+	} else {
+		i := slices.Index(f.entries, e)
+		f.entries = slices.Delete(f.entries, i, i+1)
+	}
+	f.tokens -= e.Tokens
+	class.requests--
+	class.tokens -= e.Tokens
+	class.forget()
+	c.tokens -= e.Tokens
+	delete(c.queued, e.ID)
+	if e.position >= 0 {
+		heap.Remove(&c.expiries, e.position)
+	}
+	u := c.usageOf(e.Workspace)
+	u.inFlight--
+	u.queuedTokens -= e.Tokens
+	c.forget(e.Workspace)
+}
+
+// mayStart reports whether a slot is free for the class.
+func (c *Controller) mayStart(class int) bool {
+	if len(c.running) >= c.slots {
+		return false
+	}
+	if class == interactive || c.slots < 2 {
+		return true
+	}
+	reserved := max(1, int(reservedShare*float64(c.slots)))
+	return c.deferred < c.slots-reserved
+}
+
+// start counts a request as running.
+func (c *Controller) start(id uint64, workspace string, class, tokens int) {
+	c.running[id] = runningRequest{workspace: workspace, class: class, tokens: tokens}
+	if class == deferrable {
+		c.deferred++
+	}
+}
+
+// dispatch starts queued requests while slots are free.
+func (c *Controller) dispatch(now time.Time) []uint64 {
+	var admitted []uint64
+	for {
+		e := c.pick(now)
+		if e == nil {
+			return admitted
+		}
+		c.classes[e.class].charge(e.Workspace, c.weight(e.Workspace), e.Tokens)
+		c.remove(e)
+		c.start(e.ID, e.Workspace, e.class, e.Tokens)
+		c.usageOf(e.Workspace).inFlight++
+		admitted = append(admitted, e.ID)
+	}
+}
+
+// pick returns the queued request that starts next, or nil. Requests whose
+// deadline has come are left for Expire.
+func (c *Controller) pick(now time.Time) *entry {
+	first, second := c.head(interactive, now), c.head(deferrable, now)
+	switch {
+	case first == nil:
+		return second
+	case second == nil:
+		return first
+	case c.credit >= float64(second.Tokens):
+		c.credit -= float64(second.Tokens)
+		return second
+	default:
+		c.credit += float64(first.Tokens) * deferrableShare / (1 - deferrableShare)
+		return first
+	}
+}
+
+// head returns the next request of a class that may start, or nil.
+func (c *Controller) head(class int, now time.Time) *entry {
+	if !c.mayStart(class) {
+		return nil
+	}
+	for {
+		e := c.classes[class].next()
+		if e == nil || e.Deadline.IsZero() || e.Deadline.After(now) {
+			return e
+		}
+		c.displace(e, DeadlinePassed)
+	}
+}
+
+// displace gives up on e; the next Expire returns it.
+func (c *Controller) displace(e *entry, reason Reason) {
+	c.remove(e)
+	wait := c.rate.drain(c.tokens, c.slots)
+	c.displaced = append(c.displaced, Refusal{ID: e.ID, RetryAfter: retryAfter(e.ID, wait), Reason: reason})
+}
+
+// makeRoom reports whether the queue has room for r, after displacing the
+// newest requests of workspaces that hold more of the queue for their weight.
+func (c *Controller) makeRoom(now time.Time, r *Request) bool {
+	for len(c.queued)+1 > c.limits.QueueRequests || c.tokens+r.Tokens > c.limits.QueueTokens {
+		own := float64(c.usageOf(r.Workspace).queuedTokens+r.Tokens) / c.weight(r.Workspace)
+		victim := c.largestHolder(r.Workspace, own)
+		if victim == nil {
+			return false
+		}
+		c.displace(victim, Displaced)
+	}
+	return true
+}
+
+// largestHolder returns the newest request, deferrable ones first, of the
+// workspace that holds the most tokens for its weight, or nil when none
+// exceeds the given amount.
+func (c *Controller) largestHolder(except string, over float64) *entry {
+	holder := ""
+	for name, u := range c.usage {
+		held := float64(u.queuedTokens) / c.weight(name)
+		if name != except && held > over || held == over && holder != "" && name < holder {
+			holder, over = name, held
+		}
+	}
+	for class := deferrable; class >= interactive; class-- {
+		if f := c.classes[class].flows[holder]; f != nil && len(f.entries) > 0 {
+			return f.entries[len(f.entries)-1]
+		}
+	}
+	return nil
+}
+
+// expiryHeap orders entries by deadline.
+type expiryHeap []*entry
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].Deadline.Before(h[j].Deadline) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].position, h[j].position = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	e := x.(*entry)
+	e.position = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.position = -1
+	return e
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,212 @@
+package route
+
+import (
+	"math/bits"
+
+	"kumquatyard/internal/prefix"
+)
+
+const (
+	// levels is the number of prefix depths whose homes are considered.
+	levels = 5
+	// homes is the number of servers considered at each depth.
+	homes = 2
+	// samples is the number of servers compared by load alone.
+	samples = 2
+	// maxCandidates bounds the servers whose cost is computed.
+	maxCandidates = levels*homes + samples
+
+	// coldSeconds is the cost of a model that has to be loaded first.
+	coldSeconds = 10
+	// suspectShare is the part of a suspect cache that is counted on.
+	suspectShare = 0.5
+	// homeShare is the part of a prompt that its home may hold unreported.
+	homeShare = 0.1
+	// reclaimsPerSecond is the assumed rate at which a reclaimable server is reclaimed.
+	reclaimsPerSecond = 1.0 / (4 * 3600)
+)
+
+// candidate is a server whose cost is compared.
+type candidate struct {
+	member *member
+	// depth is the prefix depth whose hash points to the server; 0 for samples.
+	depth int
+	// home is true for the first choice at the deepest level.
+	home bool
+}
+
+// candidates is a set of distinct candidates of fixed size.
+type candidates struct {
+	list [maxCandidates]candidate
+	n    int
+}
+
+func (c *candidates) add(m *member, depth int, home bool) {
+	for i := range c.n {
+		if c.list[i].member == m {
+			return
+		}
+	}
+	c.list[c.n] = candidate{member: m, depth: depth, home: home}
+	c.n++
+}
+
+// chooseKumquat compares the estimated time to the first token, priced with
+// the risk of losing it, over few candidates: the rendezvous homes of the
+// prompt at depths that double, which later prompts with the same beginning
+// share, and servers sampled at random, which bound the herd that lagging
+// reports would cause.
+func (v *View) chooseKumquat(members []member, r *Request) (Choice, bool) {
+	var set candidates
+	set.addHomes(members, r)
+	set.addSamples(members, r)
+	var best, unbounded Choice
+	bestCost, unboundedCost := -1.0, -1.0
+	limit := v.loadLimit(&set)
+	for i := range set.n {
+		c := &set.list[i]
+		reusable := c.reusable(r)
+		cost := c.cost(r, reusable)
+		choice := Choice{Server: c.member.server, Reason: c.reason(reusable), ReusableTokens: reusable}
+		if unboundedCost < 0 || cost < unboundedCost {
+			unbounded, unboundedCost = choice, cost
+		}
+		if c.member.utilization() > limit {
+			continue
+		}
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = choice, cost
+		}
+	}
+	if best.Server == nil {
+		return unbounded, unbounded.Server != nil
+	}
+	if best.Server != unbounded.Server {
+		best.Reason = BoundedLoad
+	}
+	return best, true
+}
+
+// addHomes adds the first rendezvous choices at the depths n, n/2, n/4, … where
+// n is the largest power of two that the prefix reaches.
+func (c *candidates) addHomes(members []member, r *Request) {
+	if len(r.Prefix) == 0 {
+		return
+	}
+	deepest := 1 << (bits.Len(uint(len(r.Prefix))) - 1)
+	for depth := deepest; depth > 0 && deepest/depth < 1<<levels; depth /= 2 {
+		first, second := rendezvous(members, r, r.Prefix[depth-1])
+		if first != nil {
+			c.add(first, depth, depth == deepest)
+		}
+		if second != nil {
+			c.add(second, depth, false)
+		}
+	}
+}
+
+// rendezvous returns the two servers with the highest hashes of id and key.
+func rendezvous(members []member, r *Request, key uint64) (first, second *member) {
+	var high, next uint64
+	for i := range members {
+		m := &members[i]
+		score := mix(m.hash, key)
+		if score <= next && second != nil {
+			continue
+		}
+		if len(r.Exclude) > 0 && r.excluded(m) {
+			continue
+		}
+		if first == nil || score > high {
+			first, second = m, first
+			high, next = score, high
+		} else {
+			second, next = m, score
+		}
+	}
+	return first, second
+}
+
+// addSamples adds servers drawn at random; a draw that hits an excluded server
+// takes the next one.
+func (c *candidates) addSamples(members []member, r *Request) {
+	draw := r.Seed
+	for range samples {
+		draw = mix(draw, 0x9e3779b97f4a7c15)
+		start := draw % uint64(len(members))
+		for i := range uint64(len(members)) {
+			m := &members[(start+i)%uint64(len(members))]
+			if !r.excluded(m) {
+				c.add(m, 0, false)
+				break
+			}
+		}
+	}
+}
+
+// loadLimit is the utilization over which a candidate is passed over.
+func (v *View) loadLimit(c *candidates) float64 {
+	sum := 0.0
+	for i := range c.n {
+		sum += c.list[i].member.utilization()
+	}
+	return max(1, v.bound*sum/float64(max(c.n, 1)))
+}
+
+// reusable estimates the prompt tokens cached on the candidate. The search
+// assumes that a cache holding a block holds the blocks before it.
+func (c *candidate) reusable(r *Request) int {
+	view := c.member.server.CachePrefixes
+	if view == nil || len(r.Prefix) == 0 {
+		return 0
+	}
+	low, high := 0, len(r.Prefix)
+	if c.depth > 0 && view.Known(r.Prefix[c.depth-1]) {
+		low = c.depth
+	} else if c.depth > 0 {
+		high = c.depth - 1
+	}
+	for low < high {
+		middle := (low + high + 1) / 2
+		if view.Known(r.Prefix[middle-1]) {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return min(low*prefix.BlockTokens, r.PromptTokens)
+}
+
+// cost estimates the seconds to the first token, and adds the expected seconds
+// of work lost when the server is reclaimed.
+func (c *candidate) cost(r *Request, reusable int) float64 {
+	m := c.member
+	credit := float64(reusable)
+	if reusable > 0 && m.server.CachePrefixes.Suspect() {
+		credit *= suspectShare
+	}
+	if c.home {
+		credit = max(credit, homeShare*float64(r.PromptTokens))
+	}
+	cost := m.wait() + m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
+	if m.cold {
+		cost += coldSeconds
+	}
+	if m.server.Reclaimable {
+		atStake := m.prefill(r.PromptTokens)
+		running := atStake + float64(r.MaxTokens)*m.load.slots/m.load.tokensPerSecond
+		cost += reclaimsPerSecond * running * (atStake + running/2)
+	}
+	return cost
+}
+
+func (c *candidate) reason(reusable int) Reason {
+	switch {
+	case reusable > 0:
+		return PrefixHit
+	case c.home:
+		return PrefixHome
+	default:
+		return LeastLoaded
+	}
+}
--- /dev/null
+++ b/internal/route/load.go
@@ -0,0 +1,83 @@
+package route
+
+import "time"
+
+// Values assumed of a server that reports none.
+const (
+	defaultSlots           = 16
+	defaultTokensPerSecond = 400
+	// prefillSpeedup is the rate of prompt processing over the rate of generation.
+	prefillSpeedup = 10
+)
+
+// loadEstimate corrects a server's lagging report by what this gateway sent
+// and saw finished since the report was made.
+type loadEstimate struct {
+	reported float64
+	// baseline is this gateway's own share of the report.
+	baseline float64
+	slots    float64
+	// tokensPerRequest is the mean work of a request on the server.
+	tokensPerRequest float64
+	tokensPerSecond  float64
+}
+
+func newLoadEstimate(s *Server, now time.Time) loadEstimate {
+	l := &s.State.Load
+	e := loadEstimate{
+		reported:        float64(l.Running + l.Queued),
+		slots:           float64(l.Slots),
+		tokensPerSecond: float64(l.TokensPerSecond),
+	}
+	if e.slots <= 0 {
+		e.slots = defaultSlots
+	}
+	if e.tokensPerSecond <= 0 {
+		e.tokensPerSecond = defaultTokensPerSecond
+	}
+	if e.reported > 0 {
+		e.tokensPerRequest = float64(l.QueuedTokens) / e.reported
+	}
+	if s.InFlight != nil {
+		e.baseline = float64(s.InFlight.markAt(now, l.At).requests)
+	}
+	return e
+}
+
+// requests estimates the requests on the server now. It never falls below
+// this gateway's own.
+func (m *member) requests() float64 {
+	own := 0.0
+	if m.server.InFlight != nil {
+		own = float64(m.server.InFlight.Requests())
+	}
+	return max(m.load.reported+own-m.load.baseline, own)
+}
+
+// utilization is the number of requests for each slot.
+func (m *member) utilization() float64 { return m.requests() / m.load.slots }
+
+// wait estimates the seconds that a new request is queued on the server, plus
+// the slowdown by the requests that it is batched with.
+func (m *member) wait() float64 {
+	n := m.requests()
+	over := n + 1 - m.load.slots
+	slowdown := batchSlowdownSeconds * min(n/m.load.slots, 1)
+	if over <= 0 {
+		return slowdown
+	}
+	tokens := max(m.load.tokensPerRequest, minTokensPerRequest)
+	return slowdown + over*tokens/m.load.tokensPerSecond
+}
+
+const (
+	// batchSlowdownSeconds is the delay that a full batch adds to a first token.
+	batchSlowdownSeconds = 0.2
+	// minTokensPerRequest is the least work assumed of a queued request.
+	minTokensPerRequest = 64
+)
+
+// prefill estimates the seconds for processing prompt tokens.
+func (m *member) prefill(tokens int) float64 {
+	return float64(tokens) / (m.load.tokensPerSecond * prefillSpeedup)
+}
