--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -27,6 +27,12 @@
 	Placement Placement
 	// TokenKeys sign resume tokens; the first signs, all verify.
 	TokenKeys []TokenKey
+	// Drained servers and entry instances take no new work.
+	Drained map[machine.ID]bool
+	// Warnings are oddities that do not keep the configuration from being used.
+	Warnings []string
+
+	workspaceByKey map[Digest]string
 }
 
 // Workspace is a customer's group of callers.
