--- /dev/null
+++ b/internal/configstore/bundle.go
@@ -0,0 +1,88 @@
+// Package configstore keeps the configuration in the platform's key-value
+// service and spreads it to the processes: a Writer applies operators' changes,
+// a Keeper follows them, and a Parser reads what a Keeper hands on.
+package configstore
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"kumquatyard/internal/config"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// Parse checks a complete bundle and returns the configuration in it.
+func Parse(bundle *pb.ConfigBundle) (*config.Config, error) {
+	var p Parser
+	return p.Parse(bundle)
+}
+
+// Parser reads successive bundles. It keeps the parsed documents of the last
+// one, so that a new version costs only its changed documents and may leave
+// the others out. The zero Parser is ready; it is safe for concurrent use.
+type Parser struct {
+	mu     sync.Mutex
+	parsed map[documentKey]*config.Document
+}
+
+// documentKey tells equal bodies of documents with different names apart.
+type documentKey struct {
+	name string
+	hash config.Hash
+}
+
+// Parse checks a bundle and returns the configuration in it. Documents that
+// are left out must be unchanged since the last bundle.
+func (p *Parser) Parse(bundle *pb.ConfigBundle) (*config.Config, error) {
+	head, err := config.UnmarshalHead(bundle.GetHead())
+	if err != nil {
+		return nil, err
+	}
+	bodies := make(map[config.Hash][]byte, len(bundle.GetDocuments()))
+	for _, d := range bundle.GetDocuments() {
+		bodies[config.HashOf(d.GetBody())] = d.GetBody()
+	}
+	return p.build(head, func(hash config.Hash) ([]byte, bool) {
+		body, ok := bodies[hash]
+		return body, ok
+	})
+}
+
+// build parses the documents of head that are new to p and checks them all.
+func (p *Parser) build(head config.Head, body func(config.Hash) ([]byte, bool)) (*config.Config, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[documentKey]*config.Document, len(head.Documents))
+	docs := make([]*config.Document, 0, len(head.Documents))
+	var problems []error
+	for name, hash := range head.Documents {
+		doc, err := p.document(name, hash, body)
+		if err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		next[documentKey{name, hash}] = doc
+		docs = append(docs, doc)
+	}
+	if len(problems) > 0 {
+		return nil, errors.Join(problems...)
+	}
+	c, err := config.Assemble(head.Version, docs)
+	if err != nil {
+		return nil, err
+	}
+	p.parsed = next
+	return c, nil
+}
+
+func (p *Parser) document(name string, hash config.Hash, body func(config.Hash) ([]byte, bool)) (*config.Document, error) {
+	if doc, ok := p.parsed[documentKey{name, hash}]; ok {
+		return doc, nil
+	}
+	data, ok := body(hash)
+	if !ok {
+		return nil, fmt.Errorf("document %s: body %s is missing from the bundle", name, hash)
+	}
+	return config.Parse(name, data)
+}
