--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -42,6 +42,7 @@
 		return 1
 	})
 	b := newBuilder(version)
+	b.addFleet(&Document{Name: FleetDocument, fleet: defaultFleet()})
 	for _, doc := range sorted {
 		b.addZones(doc)
 	}
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -41,6 +41,8 @@
 	// AtUnix is when the operator made the change, in Unix seconds.
 	AtUnix    int64    `json:"t,omitempty"`
 	Documents []string `json:"d,omitempty"`
+	// Sum tells changes apart that were given the same ID by mistake.
+	Sum string `json:"s,omitempty"`
 }
 
 // Change is an operator's edit of some documents.
@@ -56,6 +58,8 @@
 	BaseHashes map[string]Hash
 	Puts       map[string][]byte
 	Deletes    []string
+	// Retry is true when an earlier attempt at this change ended unknown.
+	Retry bool
 }
 
 // Conflict is a document that was changed by others since a change's base.
@@ -76,6 +80,23 @@
 	return slices.Compact(names)
 }
 
+// sumLength is the number of characters of a content address that make a change's sum.
+const sumLength = 11
+
+// Sum is a digest of what the change puts and deletes.
+func (c Change) Sum() string {
+	var text []byte
+	for _, name := range c.Names() {
+		text = append(text, name...)
+		text = append(text, '\n')
+		if body, ok := c.Puts[name]; ok {
+			text = append(text, HashOf(body)...)
+		}
+		text = append(text, '\n')
+	}
+	return string(HashOf(text)[:sumLength])
+}
+
 // Accepted returns the record of a change that led to the head.
 func (h Head) Accepted(id string) (ChangeRecord, bool) {
 	i := slices.IndexFunc(h.Changes, func(r ChangeRecord) bool { return r.ID == id })
@@ -115,7 +136,7 @@
 	for _, name := range change.Deletes {
 		delete(next.Documents, name)
 	}
-	record := ChangeRecord{ID: change.ID, Version: next.Version, Author: change.Author, AtUnix: change.At.Unix(), Documents: names}
+	record := ChangeRecord{ID: change.ID, Version: next.Version, Author: change.Author, AtUnix: change.At.Unix(), Documents: names, Sum: change.Sum()}
 	kept := head.Changes[max(0, len(head.Changes)+1-maxChanges):]
 	next.Changes = append(slices.Clone(kept), record)
 	return next, nil
--- a/internal/config/document.go
+++ b/internal/config/document.go
@@ -215,12 +215,16 @@
 	return nil
 }
 
-func (d *Document) parseFleet() error {
-	d.fleet = &fleet{
+func defaultFleet() *fleet {
+	return &fleet{
 		Routing:   Routing{Policy: "kumquat", LoadBound: defaultLoadBound, StaleAfter: defaultStaleAfter},
 		Limits:    Limits{QueueTokens: defaultQueueTokens, QueueRequests: defaultQueueRequests, HeartbeatEvery: defaultHeartbeatEvery},
 		Placement: Placement{TargetFirstToken: defaultFirstToken, TargetBetweenTokens: defaultBetweenTokens},
 	}
+}
+
+func (d *Document) parseFleet() error {
+	d.fleet = defaultFleet()
 	if err := settings.Decode(d.Name, d.body, d.fleet); err != nil {
 		return err
 	}
--- a/internal/configstore/bundle.go
+++ b/internal/configstore/bundle.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"kumquatyard/internal/config"
@@ -56,7 +58,8 @@
 	next := make(map[documentKey]*config.Document, len(head.Documents))
 	docs := make([]*config.Document, 0, len(head.Documents))
 	var problems []error
-	for name, hash := range head.Documents {
+	for _, name := range slices.Sorted(maps.Keys(head.Documents)) {
+		hash := head.Documents[name]
 		doc, err := p.document(name, hash, body)
 		if err != nil {
 			problems = append(problems, err)
--- /dev/null
+++ b/internal/configstore/writer.go
@@ -0,0 +1,316 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sourcegraph/conc/pool"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/contract"
+)
+
+// Outcome tells how a change ended.
+type Outcome uint8
+
+const (
+	// Accepted changes are part of the configuration for good.
+	Accepted Outcome = iota + 1
+	// Conflicted changes touch documents that others changed since their base.
+	Conflicted
+	// Unknown changes may or may not have been accepted; applying the same
+	// change again settles it.
+	Unknown
+	// Refused changes did not pass the checks.
+	Refused
+)
+
+var outcomeNames = map[Outcome]string{Accepted: "accepted", Conflicted: "conflict", Unknown: "unknown", Refused: "refused"}
+
+// String returns the outcome's name in tables and JSON.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is how a change ended.
+type Result struct {
+	Outcome Outcome
+	// Version is the one that holds an accepted change.
+	Version uint64
+	// Conflicts are the documents that keep a change from being accepted.
+	Conflicts []ConflictText
+	// Problems say what to mend in a refused change.
+	Problems error
+	// Warnings are oddities of an accepted change's version.
+	Warnings []string
+}
+
+// ConflictText is a conflict with the bodies of both sides.
+type ConflictText struct {
+	config.Conflict
+	// BaseBody is empty when the base is no longer kept.
+	BaseBody, TheirsBody, MineBody []byte
+}
+
+const (
+	firstRetryDelay  = 50 * time.Millisecond
+	longestRetryWait = time.Second
+	parallelReads    = 8
+)
+
+// Writer applies operators' changes. It is safe for concurrent use.
+type Writer struct {
+	kv     KV
+	parser Parser
+
+	mu     sync.Mutex
+	bodies map[config.Hash][]byte
+}
+
+// NewWriter returns a Writer to kv.
+func NewWriter(kv KV) *Writer {
+	return &Writer{kv: timedKV{kv}, bodies: make(map[config.Hash][]byte)}
+}
+
+// attempt is the state of one Apply over its retries.
+type attempt struct {
+	change config.Change
+	// unsettled is true while a compare-and-swap at index may still take effect
+	// or have taken effect.
+	unsettled bool
+	index     uint64
+	// since is the version of the first head seen; 0 before any.
+	since uint64
+	seen  bool
+}
+
+// Apply makes a change unless it conflicts or fails the checks. It retries
+// until ctx is done. An error means that the change was not accepted by this
+// call; Unknown means that it may have been. Applying a change with the same
+// ID again is safe.
+func (w *Writer) Apply(ctx context.Context, change config.Change) (Result, error) {
+	if err := checkChange(change); err != nil {
+		return Result{Outcome: Refused, Problems: err}, nil
+	}
+	a := &attempt{change: change, since: change.BaseVersion}
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval, delays.MaxInterval, delays.RandomizationFactor = firstRetryDelay, longestRetryWait, 1
+	result, err := backoff.Retry(ctx, func() (Result, error) {
+		return w.try(ctx, a)
+	}, backoff.WithBackOff(delays), backoff.WithMaxElapsedTime(0))
+	if err == nil {
+		return result, nil
+	}
+	if a.unsettled {
+		return Result{Outcome: Unknown}, nil
+	}
+	return Result{}, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.NotRun, Message: "the change was not applied", Err: err}
+}
+
+func checkChange(change config.Change) error {
+	var problems []error
+	if change.ID == "" {
+		problems = append(problems, errors.New("the change has no id"))
+	}
+	for _, name := range slices.Sorted(maps.Keys(change.Puts)) {
+		if len(change.Puts[name]) > maxDocumentBytes {
+			problems = append(problems, fmt.Errorf("%s: has %d bytes, at most %d are kept; split it", name, len(change.Puts[name]), maxDocumentBytes))
+			continue
+		}
+		if slices.Contains(change.Deletes, name) {
+			problems = append(problems, fmt.Errorf("%s: is both put and deleted; do one of them", name))
+		}
+		if _, err := config.Parse(name, change.Puts[name]); err != nil {
+			problems = append(problems, err)
+		}
+	}
+	return errors.Join(problems...)
+}
+
+// try makes one attempt; a plain error asks for another.
+func (w *Writer) try(ctx context.Context, a *attempt) (Result, error) {
+	head, err := readHead(ctx, w.kv)
+	if err != nil {
+		return Result{}, err
+	}
+	if result, settled := a.settle(head); settled {
+		return result, nil
+	}
+	next, conflicts := config.Apply(head.Head, a.change)
+	if len(conflicts) > 0 {
+		return w.conflict(ctx, a.change, conflicts)
+	}
+	next.Parent = config.HashOf(head.data)
+	built, problems, err := w.check(ctx, next, a.change)
+	if err != nil {
+		return Result{}, err
+	}
+	if problems != nil {
+		return Result{Outcome: Refused, Problems: problems}, nil
+	}
+	if err := w.writeBlobs(ctx, head, a.change); err != nil {
+		return Result{}, err
+	}
+	return w.swap(ctx, a, head, next, built.Warnings)
+}
+
+// settle decides the change from a head that was read, when it can. A head
+// with another index than an unsettled compare-and-swap's proves that this one
+// cannot take effect any more.
+func (a *attempt) settle(head storedHead) (Result, bool) {
+	if record, ok := head.Accepted(a.change.ID); ok {
+		if record.Sum != a.change.Sum() {
+			return Result{Outcome: Refused, Problems: fmt.Errorf("change id %s belongs to another change, accepted as version %d; use a new id", record.ID, record.Version)}, true
+		}
+		return Result{Outcome: Accepted, Version: record.Version}, true
+	}
+	if !a.seen && a.since == 0 {
+		a.since = head.Version
+	}
+	a.seen = true
+	if (a.unsettled || a.change.Retry) && !head.Remembers(a.since) {
+		return Result{Outcome: Unknown}, true
+	}
+	if head.index != a.index {
+		a.unsettled = false
+	}
+	return Result{}, false
+}
+
+// swap commits next in place of head.
+func (w *Writer) swap(ctx context.Context, a *attempt, head storedHead, next config.Head, warnings []string) (Result, error) {
+	data, err := next.Marshal()
+	if err != nil {
+		return Result{}, backoff.Permanent(err)
+	}
+	if len(data) > maxDocumentBytes {
+		return Result{Outcome: Refused, Problems: errors.New("too many documents for one configuration; merge or remove some")}, nil
+	}
+	_, swapped, err := w.kv.CompareAndSwap(ctx, headKey, data, head.index)
+	if err != nil {
+		if contract.VerdictOf(err) != contract.NotRun {
+			a.unsettled, a.index = true, head.index
+		}
+		return Result{}, fmt.Errorf("swap head: %w", err)
+	}
+	if !swapped {
+		return Result{}, errors.New("swap head: another change came first")
+	}
+	return Result{Outcome: Accepted, Version: next.Version, Warnings: warnings}, nil
+}
+
+// writeBlobs stores the bodies that the next head refers to, and head itself
+// as its parent.
+func (w *Writer) writeBlobs(ctx context.Context, head storedHead, change config.Change) error {
+	writes := pool.New().WithContext(ctx).WithMaxGoroutines(parallelReads).WithFirstError()
+	for _, body := range change.Puts {
+		writes.Go(func(ctx context.Context) error { return writeBlob(ctx, w.kv, body) })
+	}
+	if len(head.data) > 0 {
+		writes.Go(func(ctx context.Context) error { return writeBlob(ctx, w.kv, head.data) })
+	}
+	return writes.Wait()
+}
+
+// check builds the configuration that next describes. The first error is what
+// is wrong with it, the second that it could not be read.
+func (w *Writer) check(ctx context.Context, next config.Head, change config.Change) (built *config.Config, problems, err error) {
+	bodies, err := w.bodiesOf(ctx, next, change)
+	if err != nil {
+		return nil, nil, err
+	}
+	built, problems = w.parser.build(next, func(hash config.Hash) ([]byte, bool) {
+		body, ok := bodies[hash]
+		return body, ok
+	})
+	return built, problems, nil
+}
+
+// bodiesOf returns the bodies of all documents of next, reading only those
+// that w has not read before.
+func (w *Writer) bodiesOf(ctx context.Context, next config.Head, change config.Change) (map[config.Hash][]byte, error) {
+	bodies := make(map[config.Hash][]byte, len(next.Documents))
+	for _, body := range change.Puts {
+		bodies[config.HashOf(body)] = body
+	}
+	w.mu.Lock()
+	for _, hash := range next.Documents {
+		if body, ok := w.bodies[hash]; ok {
+			bodies[hash] = body
+		}
+	}
+	w.mu.Unlock()
+	if err := readBlobs(ctx, w.kv, next, bodies); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.bodies = bodies
+	w.mu.Unlock()
+	return maps.Clone(bodies), nil
+}
+
+// readBlobs adds the bodies of head's documents that bodies lacks.
+func readBlobs(ctx context.Context, kv KV, head config.Head, bodies map[config.Hash][]byte) error {
+	var mu sync.Mutex
+	reads := pool.New().WithContext(ctx).WithMaxGoroutines(parallelReads).WithFirstError()
+	asked := make(map[config.Hash]bool)
+	for _, hash := range head.Documents {
+		if _, ok := bodies[hash]; ok || asked[hash] {
+			continue
+		}
+		asked[hash] = true
+	}
+	for hash := range asked {
+		reads.Go(func(ctx context.Context) error {
+			body, err := readBlob(ctx, kv, hash)
+			if err != nil {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			bodies[hash] = body
+			return nil
+		})
+	}
+	return reads.Wait()
+}
+
+func (w *Writer) conflict(ctx context.Context, change config.Change, conflicts []config.Conflict) (Result, error) {
+	result := Result{Outcome: Conflicted}
+	for _, c := range conflicts {
+		text := ConflictText{Conflict: c, MineBody: change.Puts[c.Document]}
+		// A body that cannot be read leaves its side empty; the conflict stands.
+		text.BaseBody, _ = w.optionalBlob(ctx, c.Base)
+		text.TheirsBody, _ = w.optionalBlob(ctx, c.Theirs)
+		result.Conflicts = append(result.Conflicts, text)
+	}
+	return result, nil
+}
+
+func (w *Writer) optionalBlob(ctx context.Context, hash config.Hash) ([]byte, error) {
+	if hash == "" {
+		return nil, nil
+	}
+	return readBlob(ctx, w.kv, hash)
+}
+
+// Read returns the newest head and its documents by name.
+func (w *Writer) Read(ctx context.Context) (config.Head, map[string][]byte, error) {
+	head, err := readHead(ctx, w.kv)
+	if err != nil {
+		return config.Head{}, nil, err
+	}
+	bodies, err := w.bodiesOf(ctx, head.Head, config.Change{})
+	if err != nil {
+		return config.Head{}, nil, err
+	}
+	docs := make(map[string][]byte, len(head.Documents))
+	for name, hash := range head.Documents {
+		docs[name] = bodies[hash]
+	}
+	return head.Head, docs, nil
+}
