Key-value client and stand-in

Consul's KV, transactions, sessions and blocking queries, with faults that cut, delay, lose answers and silence open connections. The client's library retries are off; its errors carry verdicts.

--- a/internal/platform/kv.go
+++ b/internal/platform/kv.go
@@ -3,6 +3,21 @@
 // Each user defines the interface of what it needs of them.
 package platform
 
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// ErrSessionGone means that a session expired or was destroyed.
+var ErrSessionGone = errors.New("session is gone")
+
 // Entry is a key and its value as the key-value service holds them.
 type Entry struct {
 	Key   string
@@ -12,3 +27,227 @@
 	// Session is the lease that holds the key, empty when none does.
 	Session string
 }
+
+// KVClient is a client of the key-value service. Its errors are
+// *contract.Error unless said otherwise: NotRun when nothing was sent or the
+// service refused, MayHaveRun when the answer was lost. It never repeats a call.
+type KVClient struct {
+	http *httpClient
+}
+
+// NewKVClient returns a client of the service at address, host:port by IP
+// number. A call fails after timeout, a waiting call timeout after its wait.
+func NewKVClient(address string, timeout time.Duration) *KVClient {
+	return &KVClient{http: newHTTPClient(address, timeout)}
+}
+
+type txnOp struct {
+	KV txnKV
+}
+
+type txnKV struct {
+	Verb  string
+	Key   string
+	Value []byte
+	Index uint64
+}
+
+type txnReply struct {
+	Results []struct {
+		KV Entry
+	}
+}
+
+func keyPath(key string) string { return "/v1/kv/" + url.PathEscape(key) }
+
+// Get returns the entry of key, with ModifyIndex 0 when it is absent.
+func (c *KVClient) Get(ctx context.Context, key string) (Entry, error) {
+	entry, _, err := c.get(ctx, call{method: http.MethodGet, path: keyPath(key)}, key)
+	return entry, err
+}
+
+// get also returns the index to wait on for a change of key.
+func (c *KVClient) get(ctx context.Context, req call, key string) (Entry, uint64, error) {
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return Entry{}, 0, err
+	}
+	index, _ := strconv.ParseUint(r.index, 10, 64)
+	if r.status == http.StatusNotFound {
+		return Entry{Key: key}, index, nil
+	}
+	entries, err := decodeEntries(req, r)
+	if err != nil {
+		return Entry{}, 0, err
+	}
+	if len(entries) != 1 {
+		return Entry{}, 0, unexpected(req, r)
+	}
+	return entries[0], index, nil
+}
+
+// List returns the entries whose keys start with prefix, ordered by key.
+func (c *KVClient) List(ctx context.Context, prefix string) ([]Entry, error) {
+	req := call{method: http.MethodGet, path: keyPath(prefix) + "?recurse"}
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if r.status == http.StatusNotFound {
+		return nil, nil
+	}
+	return decodeEntries(req, r)
+}
+
+func decodeEntries(req call, r reply) ([]Entry, error) {
+	if r.status != http.StatusOK {
+		return nil, unexpected(req, r)
+	}
+	var entries []Entry
+	if err := json.Unmarshal(r.body, &entries); err != nil {
+		return nil, unexpected(req, r)
+	}
+	return entries, nil
+}
+
+// CompareAndSwap writes value when key's ModifyIndex is index; index 0 creates
+// the key if it is absent. It returns the new ModifyIndex.
+func (c *KVClient) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	body, err := json.Marshal([]txnOp{{KV: txnKV{Verb: "cas", Key: key, Value: value, Index: index}}})
+	if err != nil {
+		return 0, false, err
+	}
+	req := call{method: http.MethodPut, path: "/v1/txn", body: body}
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return 0, false, err
+	}
+	if r.status == http.StatusConflict {
+		return 0, false, nil
+	}
+	var result txnReply
+	if r.status != http.StatusOK {
+		return 0, false, unexpected(req, r)
+	}
+	if err := json.Unmarshal(r.body, &result); err != nil || len(result.Results) != 1 {
+		return 0, false, unexpected(req, r)
+	}
+	return result.Results[0].KV.ModifyIndex, true, nil
+}
+
+// Delete removes key when its ModifyIndex is index and reports whether the
+// key is gone. An absent key counts as removed.
+func (c *KVClient) Delete(ctx context.Context, key string, index uint64) (bool, error) {
+	path := fmt.Sprintf("%s?cas=%d", keyPath(key), index)
+	return c.boolean(ctx, call{method: http.MethodDelete, path: path})
+}
+
+// Watch waits until key's ModifyIndex differs from after, or for wait, and
+// returns the entry, changed or not.
+func (c *KVClient) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error) {
+	end := time.Now().Add(wait)
+	index := after
+	if after == 0 {
+		// An absent key has no index of its own to wait on.
+		entry, current, err := c.get(ctx, call{method: http.MethodGet, path: keyPath(key)}, key)
+		if err != nil || entry.ModifyIndex != 0 {
+			return entry, err
+		}
+		index = max(current, 1)
+	}
+	for {
+		left := max(time.Until(end), time.Millisecond)
+		path := fmt.Sprintf("%s?index=%d&wait=%dms", keyPath(key), index, left.Milliseconds())
+		entry, current, err := c.get(ctx, call{method: http.MethodGet, path: path, wait: left}, key)
+		if err != nil || entry.ModifyIndex != after || !time.Now().Before(end) {
+			return entry, err
+		}
+		// The service may wake a waiter without a change of its key. An index
+		// that went backwards belongs to a restored service.
+		index = max(current, 1)
+	}
+}
+
+type sessionRequest struct {
+	Name      string
+	TTL       string
+	Behavior  string
+	LockDelay string
+}
+
+// CreateSession creates a lease of ttl and returns its id. Keys held by it are
+// released when it ends.
+func (c *KVClient) CreateSession(ctx context.Context, name string, ttl time.Duration) (string, error) {
+	body, err := json.Marshal(sessionRequest{Name: name, TTL: ttl.String(), Behavior: "release", LockDelay: "0s"})
+	if err != nil {
+		return "", err
+	}
+	req := call{method: http.MethodPut, path: "/v1/session/create", body: body}
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return "", err
+	}
+	if r.status != http.StatusOK {
+		return "", unexpected(req, r)
+	}
+	var created struct{ ID string }
+	if err := json.Unmarshal(r.body, &created); err != nil || created.ID == "" {
+		return "", unexpected(req, r)
+	}
+	return created.ID, nil
+}
+
+// RenewSession restarts the session's time to live. It returns ErrSessionGone
+// when the service no longer knows the session.
+func (c *KVClient) RenewSession(ctx context.Context, id string) error {
+	req := call{method: http.MethodPut, path: "/v1/session/renew/" + url.PathEscape(id)}
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return err
+	}
+	switch r.status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return ErrSessionGone
+	default:
+		return unexpected(req, r)
+	}
+}
+
+// DestroySession ends a session; ending one that is gone succeeds.
+func (c *KVClient) DestroySession(ctx context.Context, id string) error {
+	_, err := c.boolean(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + url.PathEscape(id)})
+	return err
+}
+
+// Acquire writes value and makes session the holder of key, unless another
+// session holds it. It returns ErrSessionGone when session has ended.
+func (c *KVClient) Acquire(ctx context.Context, key string, value []byte, session string) (bool, error) {
+	if value == nil {
+		value = []byte{}
+	}
+	path := keyPath(key) + "?acquire=" + url.QueryEscape(session)
+	return c.boolean(ctx, call{method: http.MethodPut, path: path, body: value})
+}
+
+// Release gives key up when session holds it. The value is kept.
+func (c *KVClient) Release(ctx context.Context, key, session string) (bool, error) {
+	path := keyPath(key) + "?release=" + url.QueryEscape(session)
+	return c.boolean(ctx, call{method: http.MethodPut, path: path})
+}
+
+// boolean sends a call that is answered by true or false.
+func (c *KVClient) boolean(ctx context.Context, req call) (bool, error) {
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return false, err
+	}
+	if r.status == http.StatusInternalServerError && bytes.Contains(r.body, []byte("invalid session")) {
+		return false, ErrSessionGone
+	}
+	if r.status != http.StatusOK {
+		return false, unexpected(req, r)
+	}
+	return strconv.ParseBool(string(bytes.TrimSpace(r.body)))
+}
--- /dev/null
+++ b/internal/standin/kv.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/time/rate"
+)
+
+const (
+	defaultWait     = 5 * time.Minute
+	maxWait         = 10 * time.Minute
+	maxValueBytes   = 1 << 20
+	maxTxnOps       = 128
+	expiryInterval  = 20 * time.Millisecond
+	kvPathPrefix    = "/v1/kv/"
+	renewPrefix     = "/v1/session/renew/"
+	destroyPrefix   = "/v1/session/destroy/"
+	sessionIDFormat = "%08x-%04x-%04x-%04x-%012x"
+)
+
+// Options configure a KV. The zero Options have no rate limits.
+type Options struct {
+	// Now tells the time by which sessions expire; nil is the wall clock.
+	Now func() time.Time
+	// Seed determines session ids and faults.
+	Seed uint64
+	// WritesPerSecond and ReadsPerSecond limit the calls; 0 does not.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+// KVCounts are the calls that a KV has taken. A waiting watch is one call.
+type KVCounts struct {
+	Reads    uint64 `json:"reads"`
+	Writes   uint64 `json:"writes"`
+	Limited  uint64 `json:"limited"`
+	Waiting  int    `json:"waiting"`
+	Sessions int    `json:"sessions"`
+}
+
+// KV is a stand-in of the key-value service.
+type KV struct {
+	*Endpoint
+	now        func() time.Time
+	writeLimit *rate.Limiter
+	readLimit  *rate.Limiter
+
+	mu      sync.Mutex
+	store   *kvStore
+	rng     *rand.Rand
+	waiters map[*waiter]struct{}
+	counts  KVCounts
+}
+
+// waiter is a blocking query.
+type waiter struct {
+	key     string
+	recurse bool
+	woken   chan struct{}
+}
+
+// NewKV returns an empty KV.
+func NewKV(o Options) *KV {
+	k := &KV{
+		now:        o.Now,
+		writeLimit: newLimiter(o.WritesPerSecond),
+		readLimit:  newLimiter(o.ReadsPerSecond),
+		rng:        rand.New(rand.NewPCG(o.Seed, 1)),
+		waiters:    make(map[*waiter]struct{}),
+	}
+	if k.now == nil {
+		k.now = time.Now
+	}
+	k.store = newKVStore(k.wake)
+	k.Endpoint = newEndpoint(o.Seed, k.handle)
+	return k
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Serve implements Standin.
+func (k *KV) Serve(l net.Listener) error {
+	go k.expire()
+	return k.Endpoint.Serve(l)
+}
+
+// expire ends sessions on time also when no call arrives.
+func (k *KV) expire() {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			k.Expire()
+		case <-k.done:
+			return
+		}
+	}
+}
+
+// Expire ends the sessions whose time to live is over.
+func (k *KV) Expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.store.expireSessions(k.now())
+}
+
+// Counts returns the calls taken so far.
+func (k *KV) Counts() KVCounts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	counts := k.counts
+	counts.Waiting = len(k.waiters)
+	counts.Sessions = len(k.store.sessions)
+	return counts
+}
+
+// wake ends the blocking queries that a change of keys concerns. k.mu is held.
+func (k *KV) wake(keys []string) {
+	for w := range k.waiters {
+		for _, key := range keys {
+			if key == w.key || (w.recurse && strings.HasPrefix(key, w.key)) {
+				close(w.woken)
+				delete(k.waiters, w)
+				break
+			}
+		}
+	}
+}
+
+func (k *KV) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.URI().PathOriginal())
+	switch {
+	case path == "/_counts":
+		writeJSON(ctx, k.Counts())
+	case !k.allow(ctx):
+		refuse(ctx, http.StatusTooManyRequests, "rate limit exceeded")
+	case strings.HasPrefix(path, kvPathPrefix):
+		k.handleKey(ctx, path[len(kvPathPrefix):])
+	case path == "/v1/txn":
+		k.handleTxn(ctx)
+	case path == "/v1/session/create":
+		k.handleCreateSession(ctx)
+	case strings.HasPrefix(path, renewPrefix):
+		k.handleRenewSession(ctx, path[len(renewPrefix):])
+	case strings.HasPrefix(path, destroyPrefix):
+		k.handleDestroySession(ctx, path[len(destroyPrefix):])
+	default:
+		fail(ctx, http.StatusNotFound, "unknown path %s", path)
+	}
+}
+
+// allow counts the call and applies the rate limit of its kind.
+func (k *KV) allow(ctx *fasthttp.RequestCtx) bool {
+	limit, counter := k.writeLimit, &k.counts.Writes
+	if ctx.IsGet() {
+		limit, counter = k.readLimit, &k.counts.Reads
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !limit.Allow() {
+		k.counts.Limited++
+		return false
+	}
+	*counter++
+	k.store.expireSessions(k.now())
+	return true
+}
