--- /dev/null
+++ b/internal/platform/cloud.go
@@ -0,0 +1,163 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// ErrNoRoom means that the cloud refused to start an instance.
+var ErrNoRoom = errors.New("the cloud has no room")
+
+// Instance is an entry of the lagging list of instances.
+type Instance struct {
+	ID      string `json:"id"`
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Role    string `json:"role"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// InstanceList is a client of the lagging list of instances.
+type InstanceList struct {
+	http *httpClient
+}
+
+// NewInstanceList returns a client of the list at address.
+func NewInstanceList(address string, timeout time.Duration) *InstanceList {
+	return &InstanceList{http: newHTTPClient(address, timeout)}
+}
+
+// List returns the instances as the list knows them.
+func (l *InstanceList) List(ctx context.Context) ([]Instance, error) {
+	var list []Instance
+	err := l.http.getJSON(ctx, "/v1/instances", &list)
+	return list, err
+}
+
+// Market is the way an instance is paid for.
+type Market string
+
+const (
+	// Reclaimable instances are cheap and may be taken back.
+	Reclaimable Market = "reclaimable"
+	// OnDemand instances stay until they are given back.
+	OnDemand Market = "on_demand"
+)
+
+// StartRequest asks for an instance. The same ClientToken never starts two.
+type StartRequest struct {
+	ClientToken string `json:"client_token"`
+	Zone        string `json:"zone"`
+	Class       string `json:"class"`
+	Market      Market `json:"market"`
+}
+
+// Started is an accepted instance. It appears in the list when it is live.
+type Started struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Class  string `json:"class"`
+	Market Market `json:"market"`
+}
+
+// Notice says when the cloud takes an instance back.
+type Notice struct {
+	ID       string `json:"id"`
+	AtUnixMS int64  `json:"at_unix_ms"`
+}
+
+// At returns the time at which the instance is stopped.
+func (n Notice) At() time.Time { return time.UnixMilli(n.AtUnixMS) }
+
+// Cloud is a client of the cloud API.
+type Cloud struct {
+	http *httpClient
+}
+
+// NewCloud returns a client of the cloud API at address.
+func NewCloud(address string, timeout time.Duration) *Cloud {
+	return &Cloud{http: newHTTPClient(address, timeout)}
+}
+
+// Start asks for an instance. It returns ErrNoRoom when the cloud refuses.
+func (c *Cloud) Start(ctx context.Context, r StartRequest) (Started, error) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		return Started{}, err
+	}
+	req := call{method: http.MethodPost, path: "/v1/instances", body: body}
+	answer, err := c.http.do(ctx, req)
+	if err != nil {
+		return Started{}, err
+	}
+	if answer.status == http.StatusServiceUnavailable {
+		return Started{}, ErrNoRoom
+	}
+	var started Started
+	if answer.status != http.StatusCreated || json.Unmarshal(answer.body, &started) != nil {
+		return Started{}, unexpected(req, answer)
+	}
+	return started, nil
+}
+
+// Stop gives an instance back; one that is gone already counts as given back.
+func (c *Cloud) Stop(ctx context.Context, id string) error {
+	req := call{method: http.MethodDelete, path: "/v1/instances/" + url.PathEscape(id)}
+	r, err := c.http.do(ctx, req)
+	if err != nil {
+		return err
+	}
+	if r.status != http.StatusOK && r.status != http.StatusNotFound {
+		return unexpected(req, r)
+	}
+	return nil
+}
+
+// Notices returns the reclaim notices given so far.
+func (c *Cloud) Notices(ctx context.Context) ([]Notice, error) {
+	var notices []Notice
+	err := c.http.getJSON(ctx, "/v1/notices", &notices)
+	return notices, err
+}
+
+// WeightStore is a client of the store of model weights.
+type WeightStore struct {
+	http *httpClient
+}
+
+// NewWeightStore returns a client of the store at address. The store is
+// rate-limited, so timeout bounds a whole download.
+func NewWeightStore(address string, timeout time.Duration) *WeightStore {
+	return &WeightStore{http: newHTTPClient(address, timeout)}
+}
+
+// Fetch returns the weights of a model.
+func (w *WeightStore) Fetch(ctx context.Context, name string) ([]byte, error) {
+	req := call{method: http.MethodGet, path: "/v1/weights/" + url.PathEscape(name)}
+	r, err := w.http.do(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if r.status != http.StatusOK {
+		return nil, unexpected(req, r)
+	}
+	return r.body, nil
+}
+
+func (h *httpClient) getJSON(ctx context.Context, path string, out any) error {
+	req := call{method: http.MethodGet, path: path}
+	r, err := h.do(ctx, req)
+	if err != nil {
+		return err
+	}
+	if r.status != http.StatusOK || json.Unmarshal(r.body, out) != nil {
+		return unexpected(req, r)
+	}
+	return nil
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -10,24 +10,24 @@
 // A member that is absent from the request keeps its value.
 type Faults struct {
 	// Down drops every call before it has any effect.
-	Down bool `json:"down"`
+	Down bool `json:"down" yaml:"down"`
 	// LatencyMS delays every call.
-	LatencyMS int `json:"latency_ms"`
+	LatencyMS int `json:"latency_ms" yaml:"latency_ms"`
 	// LoseAnswers is the share of writes that take effect and are not answered.
-	LoseAnswers float64 `json:"lose_answers"`
+	LoseAnswers float64 `json:"lose_answers" yaml:"lose_answers"`
 	// Silent stops the answers on the connections that are open when it is
 	// set. It is an event, not a state, and reads as false.
-	Silent bool `json:"silent"`
+	Silent bool `json:"silent" yaml:"silent"`
 	// LagMS is the age of the load reports, cache events and lists given out.
-	LagMS int `json:"lag_ms"`
+	LagMS int `json:"lag_ms" yaml:"lag_ms"`
 	// DropEvents is the share of cache events that are lost.
-	DropEvents float64 `json:"drop_events"`
+	DropEvents float64 `json:"drop_events" yaml:"drop_events"`
 	// RefuseStarts refuses new instances.
-	RefuseStarts bool `json:"refuse_starts"`
+	RefuseStarts bool `json:"refuse_starts" yaml:"refuse_starts"`
 	// LateStartMS delays the day an accepted instance appears in the list.
-	LateStartMS int `json:"late_start_ms"`
+	LateStartMS int `json:"late_start_ms" yaml:"late_start_ms"`
 	// SlowFactor multiplies the time that work takes; 0 is 1.
-	SlowFactor float64 `json:"slow_factor"`
+	SlowFactor float64 `json:"slow_factor" yaml:"slow_factor"`
 }
 
 // faultState shares the faults between the calls of a stand-in.
