--- /dev/null
+++ b/internal/configstore/fake_test.go
@@ -0,0 +1,264 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/platform"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// fakeKV is a linearizable key-value service in memory whose faults are
+// switched by the test. It records every head that was ever committed.
+type fakeKV struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	index   uint64
+	entries map[string]platform.Entry
+	heads   []config.Head
+	changed chan struct{}
+
+	down bool
+	// loseAnswers and delayWrites are shares of writes: the answer is lost
+	// after the effect, or the effect comes after the caller gave up.
+	loseAnswers, delayWrites float64
+	latency                  time.Duration
+	// silent watches never answer; epoch counts the times watches went silent.
+	epoch int
+
+	watches, maxWatches map[string]int
+	// blind ignores the index of a swap of the head: the mechanism switched off.
+	blind bool
+}
+
+func newFakeKV(seed uint64) *fakeKV {
+	return &fakeKV{
+		rng: rand.New(rand.NewPCG(seed, 1)), entries: make(map[string]platform.Entry), changed: make(chan struct{}),
+		watches: make(map[string]int), maxWatches: make(map[string]int),
+	}
+}
+
+func (f *fakeKV) set(change func(f *fakeKV)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func failure(verdict contract.Verdict) error {
+	return &contract.Error{Kind: contract.KindUnavailable, Verdict: verdict, Message: "injected"}
+}
+
+// client is one process's connection to the fake. While asleep the process
+// makes no progress.
+type client struct {
+	*fakeKV
+	zone string
+	gate *gate
+}
+
+// gate holds a process while it is closed.
+type gate struct {
+	mu     sync.Mutex
+	closed chan struct{}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+// wait ignores the context: a process that sleeps does not see its deadline.
+func (g *gate) wait() {
+	g.mu.Lock()
+	closed := g.closed
+	g.mu.Unlock()
+	if closed != nil {
+		<-closed
+	}
+}
+
+func (c *client) enter(ctx context.Context) error {
+	c.gate.wait()
+	c.mu.Lock()
+	latency, down := c.latency, c.down
+	c.mu.Unlock()
+	sleep(ctx, latency)
+	if ctx.Err() != nil || down {
+		return failure(contract.NotRun)
+	}
+	return nil
+}
+
+func (c *client) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := c.enter(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.entries[key], nil
+}
+
+func (c *client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []platform.Entry
+	for key, entry := range c.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, entry)
+		}
+	}
+	return out, nil
+}
+
+func (c *client) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	draw := c.rng.Float64()
+	if draw < c.delayWrites {
+		time.AfterFunc(time.Duration(1+c.rng.IntN(60))*time.Millisecond, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.swapLocked(key, value, index)
+		})
+		return 0, false, failure(contract.MayHaveRun)
+	}
+	newIndex, swapped := c.swapLocked(key, value, index)
+	if draw < c.delayWrites+c.loseAnswers {
+		return 0, false, failure(contract.MayHaveRun)
+	}
+	return newIndex, swapped, nil
+}
+
+func (f *fakeKV) swapLocked(key string, value []byte, index uint64) (uint64, bool) {
+	if f.entries[key].ModifyIndex != index && !(f.blind && key == headKey) {
+		return 0, false
+	}
+	f.index++
+	f.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), ModifyIndex: f.index}
+	if key == headKey {
+		head, err := config.UnmarshalHead(value)
+		if err != nil {
+			panic(err)
+		}
+		f.heads = append(f.heads, head)
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+	return f.index, true
+}
+
+func (c *client) Delete(ctx context.Context, key string, index uint64) (bool, error) {
+	if err := c.enter(ctx); err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.entries[key].ModifyIndex != index {
+		return false, nil
+	}
+	delete(c.entries, key)
+	return true, nil
+}
+
+func (c *client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+	if err := c.enter(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	c.countWatch(1)
+	defer c.countWatch(-1)
+	timeout := time.After(wait)
+	c.mu.Lock()
+	epoch := c.epoch
+	c.mu.Unlock()
+	for {
+		c.mu.Lock()
+		entry, changed, silent := c.entries[key], c.changed, epoch != c.epoch
+		c.mu.Unlock()
+		if !silent && entry.ModifyIndex > after {
+			return entry, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Entry{}, failure(contract.NotRun)
+		case <-timeout:
+			if !silent {
+				return entry, nil
+			}
+			timeout = nil
+		case <-changed:
+		}
+	}
+}
+
+func (c *client) countWatch(delta int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watches[c.zone] += delta
+	c.maxWatches[c.zone] = max(c.maxWatches[c.zone], c.watches[c.zone])
+}
+
+// network lets Keepers call one another by name.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+// node is a process with a Keeper.
+type node struct {
+	name    string
+	keeper  *Keeper
+	gate    *gate
+	network *network
+	// cut nodes reach no peer and are reached by none.
+	cut bool
+}
+
+var errCut = errors.New("no route")
+
+func (n *node) Call(ctx context.Context, address string, req *pb.Request) (*pb.Response, error) {
+	n.gate.wait()
+	n.network.mu.Lock()
+	peer := n.network.nodes[address]
+	cut := peer == nil || peer.cut || n.cut
+	n.network.mu.Unlock()
+	if cut || ctx.Err() != nil {
+		return nil, errCut
+	}
+	answer := make(chan *pb.Response, 1)
+	go func() {
+		peer.gate.wait()
+		response, _ := peer.keeper.Handle(ctx, n.name, req)
+		answer <- response
+	}()
+	select {
+	case response := <-answer:
+		return response, nil
+	case <-ctx.Done():
+		return nil, failure(contract.MayHaveRun)
+	}
+}
--- /dev/null
+++ b/internal/configstore/history_test.go
@@ -0,0 +1,481 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/contract"
+)
+
+const (
+	operators     = 4
+	editsEach     = 10
+	readsEach     = 25
+	zonesInTest   = 3
+	nodesPerZone  = 4
+	watchersAZone = 2
+	// inForce is the brief's bound on the time until a change is in force everywhere.
+	inForce = 6 * time.Second
+)
+
+// operation is one call in the history: a change, or a read when change is nil.
+type operation struct{ change *config.Change }
+
+// observation is what the call answered.
+type observation struct {
+	outcome Outcome // 0 when the change was not applied
+	version uint64
+	docs    string
+}
+
+// registerState is the sequential specification: a log of accepted changes
+// over a set of documents.
+type registerState struct {
+	log  string
+	n    uint64
+	docs map[string]config.Hash
+}
+
+func (s registerState) position(id string) uint64 {
+	before, _, found := strings.Cut(s.log, " "+id+";")
+	if !found {
+		return 0
+	}
+	return uint64(strings.Count(before, ";")) + 1
+}
+
+func (s registerState) admits(c *config.Change) bool {
+	return !slices.ContainsFunc(c.Names(), func(name string) bool {
+		mine := config.Hash("")
+		if body, ok := c.Puts[name]; ok {
+			mine = config.HashOf(body)
+		}
+		return s.docs[name] != c.BaseHashes[name] && s.docs[name] != mine
+	})
+}
+
+func (s registerState) with(c *config.Change) registerState {
+	next := registerState{log: s.log + " " + c.ID + ";", n: s.n + 1, docs: maps.Clone(s.docs)}
+	for name, body := range c.Puts {
+		next.docs[name] = config.HashOf(body)
+	}
+	return next
+}
+
+func describe(docs map[string]config.Hash) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(docs)) {
+		fmt.Fprintf(&b, "%s=%s ", name, docs[name])
+	}
+	return b.String()
+}
+
+func (s registerState) step(op operation, out observation) []any {
+	if op.change == nil {
+		if out.version == s.n && out.docs == describe(s.docs) {
+			return []any{s}
+		}
+		return nil
+	}
+	position := s.position(op.change.ID)
+	switch {
+	case out.outcome == Accepted && position > 0:
+		return only(s, out.version == position)
+	case out.outcome == Accepted:
+		return only(s.with(op.change), s.admits(op.change) && out.version == s.n+1)
+	case out.outcome == Conflicted:
+		return only(s, position == 0 && !s.admits(op.change))
+	case out.outcome == Unknown && position == 0 && s.admits(op.change):
+		return []any{s, s.with(op.change)}
+	default:
+		return []any{s}
+	}
+}
+
+func only(s registerState, ok bool) []any {
+	if !ok {
+		return nil
+	}
+	return []any{s}
+}
+
+func registerModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init:  func() []any { return []any{registerState{docs: map[string]config.Hash{}}} },
+		Step:  func(state, in, out any) []any { return state.(registerState).step(in.(operation), out.(observation)) },
+		Equal: func(a, b any) bool { return a.(registerState).log == b.(registerState).log },
+	}
+	return model.ToModel()
+}
+
+// fleetRun is a store, its operators and the Keepers that follow it.
+type fleetRun struct {
+	kv      *fakeKV
+	network *network
+	nodes   []*node
+	start   time.Time
+	// broken runs have a mechanism switched off and need not settle.
+	broken bool
+
+	mu      sync.Mutex
+	history []porcupine.Operation
+	// versions are those that each node announced, in order.
+	versions map[string][]uint64
+	seen     map[uint64]string
+	problems []string
+}
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func newFleetRun(seed uint64) *fleetRun {
+	r := &fleetRun{
+		kv: newFakeKV(seed), network: &network{nodes: map[string]*node{}}, start: time.Now(),
+		versions: map[string][]uint64{}, seen: map[uint64]string{},
+	}
+	for z := range zonesInTest {
+		for i := range nodesPerZone {
+			r.addNode(fmt.Sprintf("z%d", z), fmt.Sprintf("z%d-n%d", z, i), i < watchersAZone)
+		}
+	}
+	return r
+}
+
+func (r *fleetRun) addNode(zone, name string, watcher bool) *node {
+	n := &node{name: name, gate: &gate{}, network: r.network}
+	n.keeper = NewKeeper(Options{
+		KV: &client{r.kv, zone, n.gate}, Caller: n, Peers: r.peers, Log: quietLog(),
+		WatchWait: 100 * time.Millisecond, WatchMargin: 50 * time.Millisecond,
+		PollEvery: time.Hour, PullTimeout: 100 * time.Millisecond,
+	})
+	n.keeper.SetWatcher(watcher)
+	r.network.mu.Lock()
+	defer r.network.mu.Unlock()
+	r.network.nodes[name] = n
+	r.nodes = append(r.nodes, n)
+	return n
+}
+
+func (r *fleetRun) peers() []string {
+	r.network.mu.Lock()
+	defer r.network.mu.Unlock()
+	return slices.Collect(maps.Keys(r.network.nodes))
+}
+
+func (r *fleetRun) record(id int, call time.Duration, op operation, out observation) {
+	end := time.Since(r.start)
+	if out.outcome == Unknown {
+		end = time.Hour
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{ClientId: id, Input: op, Call: int64(call), Output: out, Return: int64(end)})
+}
+
+// operate makes edits, each on top of what the operator read, and repeats some
+// that ended unknown.
+func (r *fleetRun) operate(ctx context.Context, id int, kv KV, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, uint64(id)+10))
+	w := NewWriter(kv)
+	for i := 0; i < editsEach && ctx.Err() == nil; i++ {
+		head, ok := r.read(ctx, id, w)
+		if !ok {
+			i--
+			continue
+		}
+		change := edit(rng, head, fmt.Sprintf("op%d-%d", id, i))
+		if out := r.apply(ctx, id, w, change, time.Duration(5+rng.IntN(150))*time.Millisecond); out == Unknown {
+			change.Retry = true
+			r.apply(ctx, 100*(id+1)+i, w, change, time.Second)
+		}
+	}
+}
+
+func edit(rng *rand.Rand, head config.Head, id string) config.Change {
+	change := config.Change{ID: id, BaseVersion: head.Version, BaseHashes: map[string]config.Hash{}, Puts: map[string][]byte{}}
+	for range 1 + rng.IntN(2) {
+		name := fmt.Sprintf("overrides/s%d", rng.IntN(4))
+		change.Puts[name] = []byte("note: by " + id + "\n")
+		if hash, ok := head.Documents[name]; ok {
+			change.BaseHashes[name] = hash
+		}
+	}
+	return change
+}
+
+func (r *fleetRun) read(ctx context.Context, id int, w *Writer) (config.Head, bool) {
+	call := time.Since(r.start)
+	head, _, err := w.Read(ctx)
+	if err != nil {
+		sleep(ctx, time.Millisecond)
+		return head, false
+	}
+	r.record(id, call, operation{}, observation{version: head.Version, docs: describe(head.Documents)})
+	return head, true
+}
+
+func (r *fleetRun) apply(ctx context.Context, id int, w *Writer, change config.Change, limit time.Duration) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	call := time.Since(r.start)
+	result, _ := w.Apply(ctx, change)
+	r.record(id, call, operation{&change}, observation{outcome: result.Outcome, version: result.Version})
+	return result.Outcome
+}
+
+// heartbeat announces every node's version to two random peers, as agents do.
+func (r *fleetRun) heartbeat(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	for ctx.Err() == nil {
+		r.network.mu.Lock()
+		nodes := slices.Clone(r.nodes)
+		r.network.mu.Unlock()
+		for _, n := range nodes {
+			r.observe(n)
+			for range 2 {
+				nodes[rng.IntN(len(nodes))].keeper.Seen(ctx, n.name, n.keeper.Version())
+			}
+		}
+		sleep(ctx, 2*time.Millisecond)
+	}
+}
+
+// observe checks that versions only grow and that a version has one content.
+func (r *fleetRun) observe(n *node) {
+	held := n.keeper.visible()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := r.versions[n.name]
+	if len(versions) > 0 && versions[len(versions)-1] > held.head.Version {
+		r.problems = append(r.problems, fmt.Sprintf("%s went from version %d back to %d", n.name, versions[len(versions)-1], held.head.Version))
+	}
+	r.versions[n.name] = append(versions, held.head.Version)
+	text := describe(held.head.Documents)
+	if other, ok := r.seen[held.head.Version]; ok && other != text {
+		r.problems = append(r.problems, fmt.Sprintf("version %d has two contents", held.head.Version))
+	}
+	r.seen[held.head.Version] = text
+}
+
+// disturb switches faults until ctx is done, then heals everything.
+func (r *fleetRun) disturb(ctx context.Context, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	faults := []func(on bool){
+		func(on bool) { r.kv.set(func(f *fakeKV) { f.down = on }) },
+		func(on bool) { r.kv.set(func(f *fakeKV) { f.loseAnswers = share(on, 0.6) }) },
+		func(on bool) { r.kv.set(func(f *fakeKV) { f.delayWrites = share(on, 0.4) }) },
+		func(on bool) { r.kv.set(func(f *fakeKV) { f.latency = time.Duration(share(on, 10) * 1e6) }) },
+		func(bool) { r.kv.set(func(f *fakeKV) { f.epoch++ }) },
+		func(on bool) { r.sleepNode(r.nodes[0], on) },
+		func(on bool) { r.cutNode(r.nodes[nodesPerZone+3], on) },
+	}
+	for ctx.Err() == nil {
+		first, second := rng.IntN(len(faults)), rng.IntN(len(faults))
+		faults[first](true)
+		faults[second](true)
+		sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
+		faults[first](false)
+		faults[second](false)
+		sleep(ctx, time.Duration(rng.IntN(30))*time.Millisecond)
+	}
+}
+
+func share(on bool, value float64) float64 {
+	if on {
+		return value
+	}
+	return 0
+}
+
+func (r *fleetRun) sleepNode(n *node, on bool) {
+	if on {
+		n.gate.close()
+		return
+	}
+	n.gate.open()
+}
+
+func (r *fleetRun) cutNode(n *node, on bool) {
+	r.network.mu.Lock()
+	defer r.network.mu.Unlock()
+	n.cut = on
+}
+
+// run lets operators, readers and faults work at once; wrap may break the
+// operators' view of the store. It returns when all nodes hold the last version.
+func (r *fleetRun) run(t *testing.T, seed uint64, wrap func(KV) KV) {
+	ctx, stop := context.WithCancel(context.Background())
+	var fleet, work, faults conc.WaitGroup
+	for _, n := range r.nodes {
+		fleet.Go(func() { _ = n.keeper.Run(ctx) })
+	}
+	fleet.Go(func() { r.heartbeat(ctx, seed) })
+	faultCtx, heal := context.WithCancel(ctx)
+	faults.Go(func() { r.disturb(faultCtx, seed) })
+	for id := range operators {
+		work.Go(func() { r.operate(ctx, id, wrap(&client{r.kv, "ctl", &gate{}}), seed) })
+	}
+	work.Go(func() {
+		w := NewWriter(&client{r.kv, "ctl", &gate{}})
+		for range readsEach {
+			r.read(ctx, operators, w)
+			sleep(ctx, 10*time.Millisecond)
+		}
+	})
+	work.Wait()
+	heal()
+	faults.Wait()
+	if !r.broken {
+		r.startLate(ctx, &fleet)
+		r.awaitAll(t)
+	}
+	stop()
+	fleet.Wait()
+}
+
+// startLate takes the key-value service down for good and starts a node: it and
+// all nodes that are behind depend on their peers.
+func (r *fleetRun) startLate(ctx context.Context, fleet *conc.WaitGroup) {
+	r.awaitOneWatcher()
+	r.kv.set(func(f *fakeKV) { f.down = true })
+	late := r.addNode("z0", "late", false)
+	fleet.Go(func() { _ = late.keeper.Run(ctx) })
+}
+
+// awaitOneWatcher waits until some node holds the last version.
+func (r *fleetRun) awaitOneWatcher() {
+	deadline := time.Now().Add(inForce)
+	for time.Now().Before(deadline) {
+		if slices.ContainsFunc(r.nodes, func(n *node) bool { return n.keeper.Version() == r.last() }) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (r *fleetRun) last() uint64 {
+	r.kv.mu.Lock()
+	defer r.kv.mu.Unlock()
+	return r.kv.heads[len(r.kv.heads)-1].Version
+}
+
+func (r *fleetRun) awaitAll(t *testing.T) {
+	deadline := time.Now().Add(inForce)
+	for time.Now().Before(deadline) {
+		behind := slices.ContainsFunc(r.nodes, func(n *node) bool { return n.keeper.Version() != r.last() })
+		if !behind {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, n := range r.nodes {
+		t.Errorf("%s holds version %d of %d %v after the last change", n.name, n.keeper.Version(), r.last(), inForce)
+	}
+}
+
+func (r *fleetRun) linearizable() porcupine.CheckResult {
+	return porcupine.CheckOperationsTimeout(registerModel(), r.history, 30*time.Second)
+}
+
+func TestConfigurationHasOneHistoryUnderFaults(t *testing.T) {
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			r := newFleetRun(seed)
+			r.run(t, seed, func(kv KV) KV { return kv })
+			if result := r.linearizable(); result != porcupine.Ok {
+				t.Errorf("history of %d calls: %v", len(r.history), result)
+			}
+			if diff := cmp.Diff([]string(nil), r.problems); diff != "" {
+				t.Error(diff)
+			}
+			for zone, count := range r.kv.maxWatches {
+				if count > watchersAZone {
+					t.Errorf("zone %s held %d watches", zone, count)
+				}
+			}
+			t.Log(r.summary())
+		})
+	}
+}
+
+// trustingKV takes a lost answer for a success: the mechanism switched off.
+type trustingKV struct{ KV }
+
+func (k trustingKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	newIndex, swapped, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if contract.VerdictOf(err) == contract.MayHaveRun && err != nil {
+		return 0, true, nil
+	}
+	return newIndex, swapped, err
+}
+
+// forgettingKV takes a lost answer for a write that did not happen.
+type forgettingKV struct{ KV }
+
+func (k forgettingKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	newIndex, swapped, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if err != nil {
+		return 0, false, failure(contract.NotRun)
+	}
+	return newIndex, swapped, nil
+}
+
+// TestHistoryCheckFindsBrokenMechanisms keeps the proof honest: with one
+// mechanism switched off, the same check fails.
+func TestHistoryCheckFindsBrokenMechanisms(t *testing.T) {
+	const tries = 8
+	tests := []struct {
+		name  string
+		blind bool
+		wrap  func(KV) KV
+	}{
+		{"blind writes of the head", true, func(kv KV) KV { return kv }},
+		{"lost answer taken for accepted", false, func(kv KV) KV { return trustingKV{kv} }},
+		{"lost answer taken for not applied", false, func(kv KV) KV { return forgettingKV{kv} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= tries; seed++ {
+				r := newFleetRun(seed)
+				r.broken, r.kv.blind = true, tt.blind
+				r.run(t, seed, tt.wrap)
+				if r.linearizable() == porcupine.Illegal {
+					t.Logf("found with seed %d", seed)
+					return
+				}
+			}
+			t.Errorf("not found in %d runs", tries)
+		})
+	}
+}
+
+func (r *fleetRun) summary() string {
+	counts := map[string]int{}
+	for _, op := range r.history {
+		if op.Input.(operation).change != nil {
+			counts[op.Output.(observation).outcome.String()]++
+		} else {
+			counts["read"]++
+		}
+	}
+	return fmt.Sprintf("%v, %d versions committed", counts, len(r.kv.heads))
+}
--- /dev/null
+++ b/internal/configstore/keeper_test.go
@@ -0,0 +1,180 @@
+package configstore
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/config"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+func override(id, name, body string, head config.Head) config.Change {
+	return config.Change{
+		ID: id, BaseVersion: head.Version, BaseHashes: map[string]config.Hash{name: head.Documents[name]},
+		Puts: map[string][]byte{name: []byte(body)},
+	}
+}
+
+func mustApply(t *testing.T, kv KV, id, name, body string) {
+	t.Helper()
+	w := NewWriter(kv)
+	head, _, err := w.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result, err := w.Apply(t.Context(), override(id, name, body, head)); err != nil || result.Outcome != Accepted {
+		t.Fatalf("%s: %+v, %v", id, result, err)
+	}
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(inForce)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, inForce)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestSilentWatchIsReplaced lets the only watch of a node without peers go
+// silent; newer watches work.
+func TestSilentWatchIsReplaced(t *testing.T) {
+	r := &fleetRun{kv: newFakeKV(1), network: &network{nodes: map[string]*node{}}}
+	kv := &client{r.kv, "ctl", &gate{}}
+	mustApply(t, kv, "first", "overrides/a", "drain: true\n")
+	n := r.addNode("z0", "n", true)
+	ctx, stop := context.WithCancel(t.Context())
+	var running conc.WaitGroup
+	running.Go(func() { _ = n.keeper.Run(ctx) })
+	defer running.Wait()
+	defer stop()
+	for _, id := range []string{"second", "third"} {
+		await(t, "a watch", func() bool {
+			r.kv.mu.Lock()
+			defer r.kv.mu.Unlock()
+			return r.kv.watches["z0"] > 0
+		})
+		r.kv.set(func(f *fakeKV) { f.epoch++ })
+		mustApply(t, kv, id, "overrides/a", "note: "+id+"\n")
+		await(t, id, func() bool { return n.keeper.Version() == r.last() })
+	}
+}
+
+func TestPeerSendsOnlyWhatChanged(t *testing.T) {
+	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
+	mustApply(t, kv, "2", "overrides/b", "drain: true\n")
+	k := NewKeeper(Options{KV: kv, Log: quietLog()})
+	if err := k.readKV(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name string
+		pull *pb.ConfigPull
+		want int
+	}{
+		{"from nothing", &pb.ConfigPull{}, 2},
+		{"one version behind", &pb.ConfigPull{HaveVersion: 1}, 1},
+		{"up to date", &pb.ConfigPull{HaveVersion: 2}, 0},
+		{"known by hash", &pb.ConfigPull{HaveHashes: []string{string(config.HashOf([]byte("drain: true\n")))}}, 0},
+	}
+	for _, tt := range tests {
+		if got := k.current.Load().since(tt.pull).GetDocuments(); len(got) != tt.want {
+			t.Errorf("%s: %d documents, want %d", tt.name, len(got), tt.want)
+		}
+	}
+}
+
+// TestKeeperRefusesWhatItCannotTrust offers damaged, older and invalid bundles.
+func TestKeeperRefusesWhatItCannotTrust(t *testing.T) {
+	r := &fleetRun{kv: newFakeKV(1), network: &network{nodes: map[string]*node{}}}
+	kv := &client{r.kv, "ctl", &gate{}}
+	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
+	mustApply(t, kv, "2", "overrides/a", "drain: false\n")
+	k := NewKeeper(Options{KV: kv, Log: quietLog()})
+	if err := k.readKV(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	offer := func(version uint64, named, sent string) error {
+		head := config.Head{Version: version, Documents: map[string]config.Hash{"overrides/a": config.HashOf([]byte(named))}}
+		data, err := head.Marshal()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return k.adopt(t.Context(), data, "peer", func(_ context.Context, _ config.Head, bodies map[config.Hash][]byte) error {
+			bodies[config.HashOf([]byte(named))] = []byte(sent)
+			return nil
+		})
+	}
+	if err := offer(3, "drain: true\n", "drain: false\n"); err == nil {
+		t.Error("a body that does not have its hash was taken")
+	}
+	if err := offer(1, "drain: true\n", "drain: true\n"); err != nil || k.current.Load().head.Version != 2 {
+		t.Errorf("older version: %v, holds %d", err, k.current.Load().head.Version)
+	}
+	rejected := rejectedTotal.Get()
+	if err := offer(4, "draim: true\n", "draim: true\n"); err != nil || rejectedTotal.Get() != rejected+1 {
+		t.Errorf("invalid document: %v, counted %d", err, rejectedTotal.Get()-rejected)
+	}
+	if err := offer(5, "note: fine\n", "note: fine\n"); err != nil || k.current.Load().head.Version != 5 {
+		t.Errorf("the version after an invalid one: %v, holds %d", err, k.current.Load().head.Version)
+	}
+}
+
+func TestRepeatedChange(t *testing.T) {
+	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
+	mustApply(t, kv, "2", "overrides/a", "drain: false\n")
+	again, err := NewWriter(kv).Apply(t.Context(), override("1", "overrides/a", "drain: true\n", config.Head{}))
+	if err != nil || again.Outcome != Accepted || again.Version != 1 {
+		t.Errorf("same change: %+v, %v", again, err)
+	}
+	other, err := NewWriter(kv).Apply(t.Context(), override("1", "overrides/a", "note: other\n", config.Head{}))
+	if err != nil || other.Outcome != Refused {
+		t.Errorf("another change with its id: %+v, %v", other, err)
+	}
+}
+
+// collectingKV runs a Collector between a Writer's blobs and its head.
+type collectingKV struct {
+	KV
+	collect func()
+}
+
+func (k *collectingKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	if collect := k.collect; key == headKey && collect != nil {
+		k.collect = nil
+		collect()
+	}
+	return k.KV.CompareAndSwap(ctx, key, value, index)
+}
+
+// TestCollectorKeepsWhatAWriterIsAboutToName deletes blobs between the writing
+// of a blob and of the head that names it.
+func TestCollectorKeepsWhatAWriterIsAboutToName(t *testing.T) {
+	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
+	collector, now, deleted := NewCollector(kv), time.Unix(0, 0), 0
+	collect := func() {
+		for range 2 {
+			n, err := collector.Collect(t.Context(), now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			deleted += n
+			now = now.Add(2 * minBlobAge)
+		}
+	}
+	mustApply(t, &collectingKV{kv, collect}, "2", "overrides/a", "drain: false\n")
+	if deleted == 0 {
+		t.Error("the collector deleted nothing, so nothing was tried")
+	}
+	if _, _, err := NewWriter(kv).Read(t.Context()); err != nil {
+		t.Errorf("a committed head names a blob that is gone: %v", err)
+	}
+}
