--- a/internal/configstore/bench_test.go
+++ b/internal/configstore/bench_test.go
@@ -51,12 +51,12 @@
 		bundle := largeBundle(servers)
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			b.ReportAllocs()
-			b.ReportMetric(float64(len(bundle.GetHead())), "head_bytes")
 			for b.Loop() {
 				if _, err := Parse(bundle); err != nil {
 					b.Fatal(err)
 				}
 			}
+			b.ReportMetric(float64(len(bundle.GetHead())), "head_bytes")
 		})
 	}
 }
--- a/internal/configstore/fake_test.go
+++ b/internal/configstore/fake_test.go
@@ -4,51 +4,61 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
-	"kumquatyard/internal/config"
+	"github.com/sourcegraph/conc"
+
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/platform"
+	"kumquatyard/internal/standin"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
+// faults of a key-value service.
+type faults struct {
+	down bool
+	// loseAnswers and delayWrites are shares of writes: the answer is lost
+	// after the effect, or the effect comes after the caller gave up.
+	loseAnswers, delayWrites float64
+	latency                  time.Duration
+	// silent is an event: what is open at that moment never answers.
+	silent bool
+}
+
 // fakeKV is a linearizable key-value service in memory whose faults are
-// switched by the test. It records every head that was ever committed.
+// switched by the test.
 type fakeKV struct {
 	mu      sync.Mutex
 	rng     *rand.Rand
 	index   uint64
 	entries map[string]platform.Entry
-	heads   []config.Head
 	changed chan struct{}
 
-	down bool
-	// loseAnswers and delayWrites are shares of writes: the answer is lost
-	// after the effect, or the effect comes after the caller gave up.
-	loseAnswers, delayWrites float64
-	latency                  time.Duration
-	// silent watches never answer; epoch counts the times watches went silent.
+	faults faults
+	// epoch counts the times that the open watches went silent for good.
 	epoch int
-
-	watches, maxWatches map[string]int
-	// blind ignores the index of a swap of the head: the mechanism switched off.
-	blind bool
 }
 
 func newFakeKV(seed uint64) *fakeKV {
 	return &fakeKV{
 		rng: rand.New(rand.NewPCG(seed, 1)), entries: make(map[string]platform.Entry), changed: make(chan struct{}),
-		watches: make(map[string]int), maxWatches: make(map[string]int),
 	}
 }
 
-func (f *fakeKV) set(change func(f *fakeKV)) {
+func (f *fakeKV) open() KV { return &client{f, &gate{}} }
+
+func (f *fakeKV) inject(n faults) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	change(f)
+	f.faults = n
+	if n.silent {
+		f.epoch++
+	}
 }
 
 func failure(verdict contract.Verdict) error {
@@ -59,7 +69,6 @@
 // makes no progress.
 type client struct {
 	*fakeKV
-	zone string
 	gate *gate
 }
 
@@ -99,7 +108,7 @@
 func (c *client) enter(ctx context.Context) error {
 	c.gate.wait()
 	c.mu.Lock()
-	latency, down := c.latency, c.down
+	latency, down := c.faults.latency, c.faults.down
 	c.mu.Unlock()
 	sleep(ctx, latency)
 	if ctx.Err() != nil || down {
@@ -139,7 +148,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	draw := c.rng.Float64()
-	if draw < c.delayWrites {
+	if draw < c.faults.delayWrites {
 		time.AfterFunc(time.Duration(1+c.rng.IntN(60))*time.Millisecond, func() {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -148,24 +157,19 @@
 		return 0, false, failure(contract.MayHaveRun)
 	}
 	newIndex, swapped := c.swapLocked(key, value, index)
-	if draw < c.delayWrites+c.loseAnswers {
+	if draw < c.faults.delayWrites+c.faults.loseAnswers {
 		return 0, false, failure(contract.MayHaveRun)
 	}
 	return newIndex, swapped, nil
 }
 
 func (f *fakeKV) swapLocked(key string, value []byte, index uint64) (uint64, bool) {
-	if f.entries[key].ModifyIndex != index && !(f.blind && key == headKey) {
+	if f.entries[key].ModifyIndex != index {
 		return 0, false
 	}
 	f.index++
 	f.entries[key] = platform.Entry{Key: key, Value: slices.Clone(value), ModifyIndex: f.index}
 	if key == headKey {
-		head, err := config.UnmarshalHead(value)
-		if err != nil {
-			panic(err)
-		}
-		f.heads = append(f.heads, head)
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
@@ -189,8 +193,6 @@
 	if err := c.enter(ctx); err != nil {
 		return platform.Entry{}, err
 	}
-	c.countWatch(1)
-	defer c.countWatch(-1)
 	timeout := time.After(wait)
 	c.mu.Lock()
 	epoch := c.epoch
@@ -215,11 +217,78 @@
 	}
 }
 
-func (c *client) countWatch(delta int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.watches[c.zone] += delta
-	c.maxWatches[c.zone] = max(c.maxWatches[c.zone], c.watches[c.zone])
+// watchCounter counts the watches held at once in a zone.
+type watchCounter struct {
+	mu           sync.Mutex
+	current, max map[string]int
+}
+
+func (w *watchCounter) add(zone string, delta int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.current[zone] += delta
+	w.max[zone] = max(w.max[zone], w.current[zone])
+}
+
+func (w *watchCounter) held(zone string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.current[zone]
+}
+
+// processKV is a process's way to the store: held while it sleeps, with its
+// watches counted.
+type processKV struct {
+	KV
+	zone    string
+	gate    *gate
+	counter *watchCounter
+}
+
+func (p *processKV) Get(ctx context.Context, key string) (platform.Entry, error) {
+	p.gate.wait()
+	return p.KV.Get(ctx, key)
+}
+
+func (p *processKV) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
+	p.gate.wait()
+	p.counter.add(p.zone, 1)
+	defer p.counter.add(p.zone, -1)
+	return p.KV.Watch(ctx, key, after, wait)
+}
+
+// standinKV is the stand-in of the key-value service behind its client.
+type standinKV struct {
+	standin *standin.KV
+	address string
+}
+
+// standinTimeout bounds a call to the stand-in, and thus how long a silent
+// connection holds its caller.
+const standinTimeout = 300 * time.Millisecond
+
+func newStandinKV(t *testing.T, seed uint64) *standinKV {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &standinKV{standin: standin.NewKV(standin.Options{Seed: seed}), address: listener.Addr().String()}
+	var serving conc.WaitGroup
+	serving.Go(func() { _ = s.standin.Serve(listener) })
+	t.Cleanup(func() {
+		s.standin.Close()
+		serving.Wait()
+	})
+	return s
+}
+
+func (s *standinKV) open() KV { return platform.NewKVClient(s.address, standinTimeout) }
+
+func (s *standinKV) inject(n faults) {
+	s.standin.ChangeFaults(func(f *standin.Faults) {
+		f.Down, f.LoseAnswers, f.Silent = n.down, n.loseAnswers, n.silent
+		f.LatencyMS = int(n.latency.Milliseconds())
+	})
 }
 
 // network lets Keepers call one another by name.
--- a/internal/configstore/history_test.go
+++ b/internal/configstore/history_test.go
@@ -122,11 +122,21 @@
 	return model.ToModel()
 }
 
+// store is a key-value service whose faults the test switches.
+type store interface {
+	// open returns a new connection.
+	open() KV
+	inject(n faults)
+}
+
 // fleetRun is a store, its operators and the Keepers that follow it.
 type fleetRun struct {
-	kv      *fakeKV
+	store   store
 	network *network
 	nodes   []*node
+	counter *watchCounter
+	// final is the last version committed, once the operators are done.
+	final uint64
 	start   time.Time
 	// broken runs have a mechanism switched off and need not settle.
 	broken bool
@@ -145,11 +155,16 @@
 	return logrus.NewEntry(log)
 }
 
-func newFleetRun(seed uint64) *fleetRun {
-	r := &fleetRun{
-		kv: newFakeKV(seed), network: &network{nodes: map[string]*node{}}, start: time.Now(),
+func newRun(s store) *fleetRun {
+	return &fleetRun{
+		store: s, network: &network{nodes: map[string]*node{}}, start: time.Now(),
+		counter:  &watchCounter{current: map[string]int{}, max: map[string]int{}},
 		versions: map[string][]uint64{}, seen: map[uint64]string{},
 	}
+}
+
+func newFleetRun(s store) *fleetRun {
+	r := newRun(s)
 	for z := range zonesInTest {
 		for i := range nodesPerZone {
 			r.addNode(fmt.Sprintf("z%d", z), fmt.Sprintf("z%d-n%d", z, i), i < watchersAZone)
@@ -161,7 +176,7 @@
 func (r *fleetRun) addNode(zone, name string, watcher bool) *node {
 	n := &node{name: name, gate: &gate{}, network: r.network}
 	n.keeper = NewKeeper(Options{
-		KV: &client{r.kv, zone, n.gate}, Caller: n, Peers: r.peers, Log: quietLog(),
+		KV: &processKV{r.store.open(), zone, n.gate, r.counter}, Caller: n, Peers: r.peers, Log: quietLog(),
 		WatchWait: 100 * time.Millisecond, WatchMargin: 50 * time.Millisecond,
 		PollEvery: time.Hour, PullTimeout: 100 * time.Millisecond,
 	})
@@ -277,33 +292,29 @@
 // disturb switches faults until ctx is done, then heals everything.
 func (r *fleetRun) disturb(ctx context.Context, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 2))
-	faults := []func(on bool){
-		func(on bool) { r.kv.set(func(f *fakeKV) { f.down = on }) },
-		func(on bool) { r.kv.set(func(f *fakeKV) { f.loseAnswers = share(on, 0.6) }) },
-		func(on bool) { r.kv.set(func(f *fakeKV) { f.delayWrites = share(on, 0.4) }) },
-		func(on bool) { r.kv.set(func(f *fakeKV) { f.latency = time.Duration(share(on, 10) * 1e6) }) },
-		func(bool) { r.kv.set(func(f *fakeKV) { f.epoch++ }) },
-		func(on bool) { r.sleepNode(r.nodes[0], on) },
-		func(on bool) { r.cutNode(r.nodes[nodesPerZone+3], on) },
+	kinds := []func(n *faults){
+		func(n *faults) { n.down = true },
+		func(n *faults) { n.loseAnswers = 0.6 },
+		func(n *faults) { n.delayWrites = 0.4 },
+		func(n *faults) { n.latency = 10 * time.Millisecond },
+		func(n *faults) { n.silent = true },
 	}
 	for ctx.Err() == nil {
-		first, second := rng.IntN(len(faults)), rng.IntN(len(faults))
-		faults[first](true)
-		faults[second](true)
+		var n faults
+		kinds[rng.IntN(len(kinds))](&n)
+		kinds[rng.IntN(len(kinds))](&n)
+		sleeper, cut := rng.IntN(3) == 0, rng.IntN(3) == 0
+		r.store.inject(n)
+		r.sleepNode(r.nodes[0], sleeper)
+		r.cutNode(r.nodes[nodesPerZone+3], cut)
 		sleep(ctx, time.Duration(10+rng.IntN(60))*time.Millisecond)
-		faults[first](false)
-		faults[second](false)
+		r.store.inject(faults{})
+		r.sleepNode(r.nodes[0], false)
+		r.cutNode(r.nodes[nodesPerZone+3], false)
 		sleep(ctx, time.Duration(rng.IntN(30))*time.Millisecond)
 	}
 }
 
-func share(on bool, value float64) float64 {
-	if on {
-		return value
-	}
-	return 0
-}
-
 func (r *fleetRun) sleepNode(n *node, on bool) {
 	if on {
 		n.gate.close()
@@ -322,18 +333,18 @@
 // operators' view of the store. It returns when all nodes hold the last version.
 func (r *fleetRun) run(t *testing.T, seed uint64, wrap func(KV) KV) {
 	ctx, stop := context.WithCancel(context.Background())
-	var fleet, work, faults conc.WaitGroup
+	var fleet, work, disturbance conc.WaitGroup
 	for _, n := range r.nodes {
 		fleet.Go(func() { _ = n.keeper.Run(ctx) })
 	}
 	fleet.Go(func() { r.heartbeat(ctx, seed) })
 	faultCtx, heal := context.WithCancel(ctx)
-	faults.Go(func() { r.disturb(faultCtx, seed) })
+	disturbance.Go(func() { r.disturb(faultCtx, seed) })
 	for id := range operators {
-		work.Go(func() { r.operate(ctx, id, wrap(&client{r.kv, "ctl", &gate{}}), seed) })
+		work.Go(func() { r.operate(ctx, id, wrap(r.store.open()), seed) })
 	}
 	work.Go(func() {
-		w := NewWriter(&client{r.kv, "ctl", &gate{}})
+		w := NewWriter(r.store.open())
 		for range readsEach {
 			r.read(ctx, operators, w)
 			sleep(ctx, 10*time.Millisecond)
@@ -341,52 +352,42 @@
 	})
 	work.Wait()
 	heal()
-	faults.Wait()
+	disturbance.Wait()
+	r.readFinal(ctx)
 	if !r.broken {
-		r.startLate(ctx, &fleet)
+		r.startLate(ctx, t, &fleet)
 		r.awaitAll(t)
 	}
 	stop()
 	fleet.Wait()
 }
 
-// startLate takes the key-value service down for good and starts a node: it and
-// all nodes that are behind depend on their peers.
-func (r *fleetRun) startLate(ctx context.Context, fleet *conc.WaitGroup) {
-	r.awaitOneWatcher()
-	r.kv.set(func(f *fakeKV) { f.down = true })
+// startLate takes the key-value service down for good once a node holds the
+// last version, and starts another node: it and all nodes that are behind
+// depend on their peers.
+func (r *fleetRun) startLate(ctx context.Context, t *testing.T, fleet *conc.WaitGroup) {
+	await(t, "the last version on a node", func() bool {
+		return slices.ContainsFunc(r.nodes, func(n *node) bool { return n.keeper.Version() >= r.final })
+	})
+	r.store.inject(faults{down: true})
 	late := r.addNode("z0", "late", false)
 	fleet.Go(func() { _ = late.keeper.Run(ctx) })
 }
 
-// awaitOneWatcher waits until some node holds the last version.
-func (r *fleetRun) awaitOneWatcher() {
-	deadline := time.Now().Add(inForce)
-	for time.Now().Before(deadline) {
-		if slices.ContainsFunc(r.nodes, func(n *node) bool { return n.keeper.Version() == r.last() }) {
-			return
-		}
-		time.Sleep(time.Millisecond)
+func (r *fleetRun) awaitAll(t *testing.T) {
+	for _, n := range r.nodes {
+		await(t, "the last version on "+n.name, func() bool { return n.keeper.Version() >= r.final })
 	}
 }
 
-func (r *fleetRun) last() uint64 {
-	r.kv.mu.Lock()
-	defer r.kv.mu.Unlock()
-	return r.kv.heads[len(r.kv.heads)-1].Version
-}
-
-func (r *fleetRun) awaitAll(t *testing.T) {
-	deadline := time.Now().Add(inForce)
-	for time.Now().Before(deadline) {
-		behind := slices.ContainsFunc(r.nodes, func(n *node) bool { return n.keeper.Version() != r.last() })
-		if !behind {
+// readFinal reads the last version of a healed store.
+func (r *fleetRun) readFinal(ctx context.Context) {
+	w := NewWriter(r.store.open())
+	for ctx.Err() == nil {
+		if head, ok := r.read(ctx, operators+1, w); ok {
+			r.final = head.Version
 			return
 		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	for _, n := range r.nodes {
-		t.Errorf("%s holds version %d of %d %v after the last change", n.name, n.keeper.Version(), r.last(), inForce)
 	}
 }
 
@@ -395,25 +396,35 @@
 }
 
 func TestConfigurationHasOneHistoryUnderFaults(t *testing.T) {
-	for seed := uint64(1); seed <= 4; seed++ {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel()
-			r := newFleetRun(seed)
-			r.run(t, seed, func(kv KV) KV { return kv })
-			if result := r.linearizable(); result != porcupine.Ok {
-				t.Errorf("history of %d calls: %v", len(r.history), result)
-			}
-			if diff := cmp.Diff([]string(nil), r.problems); diff != "" {
-				t.Error(diff)
-			}
-			for zone, count := range r.kv.maxWatches {
-				if count > watchersAZone {
-					t.Errorf("zone %s held %d watches", zone, count)
-				}
-			}
-			t.Log(r.summary())
-		})
+	stores := map[string]func(t *testing.T, seed uint64) store{
+		"in memory with late writes": func(_ *testing.T, seed uint64) store { return newFakeKV(seed) },
+		"stand-in over HTTP":         func(t *testing.T, seed uint64) store { return newStandinKV(t, seed) },
+	}
+	for name, newStore := range stores {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				r := newFleetRun(newStore(t, seed))
+				r.run(t, seed, func(kv KV) KV { return kv })
+				r.check(t)
+			})
+		}
+	}
+}
+
+func (r *fleetRun) check(t *testing.T) {
+	if result := r.linearizable(); result != porcupine.Ok {
+		t.Errorf("history of %d calls: %v", len(r.history), result)
+	}
+	if diff := cmp.Diff([]string(nil), r.problems); diff != "" {
+		t.Error(diff)
 	}
+	for zone, count := range r.counter.max {
+		if count > watchersAZone {
+			t.Errorf("zone %s held %d watches", zone, count)
+		}
+	}
+	t.Log(r.summary())
 }
 
 // trustingKV takes a lost answer for a success: the mechanism switched off.
@@ -438,25 +449,38 @@
 	return newIndex, swapped, nil
 }
 
+// blindKV writes the head whatever its index is.
+type blindKV struct{ KV }
+
+func (k blindKV) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	if key == headKey {
+		entry, err := k.Get(ctx, key)
+		if err != nil {
+			return 0, false, err
+		}
+		index = entry.ModifyIndex
+	}
+	return k.KV.CompareAndSwap(ctx, key, value, index)
+}
+
 // TestHistoryCheckFindsBrokenMechanisms keeps the proof honest: with one
 // mechanism switched off, the same check fails.
 func TestHistoryCheckFindsBrokenMechanisms(t *testing.T) {
 	const tries = 8
 	tests := []struct {
-		name  string
-		blind bool
-		wrap  func(KV) KV
+		name string
+		wrap func(KV) KV
 	}{
-		{"blind writes of the head", true, func(kv KV) KV { return kv }},
-		{"lost answer taken for accepted", false, func(kv KV) KV { return trustingKV{kv} }},
-		{"lost answer taken for not applied", false, func(kv KV) KV { return forgettingKV{kv} }},
+		{"blind writes of the head", func(kv KV) KV { return blindKV{kv} }},
+		{"lost answer taken for accepted", func(kv KV) KV { return trustingKV{kv} }},
+		{"lost answer taken for not applied", func(kv KV) KV { return forgettingKV{kv} }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := uint64(1); seed <= tries; seed++ {
-				r := newFleetRun(seed)
-				r.broken, r.kv.blind = true, tt.blind
+				r := newFleetRun(newFakeKV(seed))
+				r.broken = true
 				r.run(t, seed, tt.wrap)
 				if r.linearizable() == porcupine.Illegal {
 					t.Logf("found with seed %d", seed)
@@ -477,5 +501,5 @@
 			counts["read"]++
 		}
 	}
-	return fmt.Sprintf("%v, %d versions committed", counts, len(r.kv.heads))
+	return fmt.Sprintf("%v, %d versions committed", counts, r.final)
 }
--- a/internal/configstore/keeper_test.go
+++ b/internal/configstore/keeper_test.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"kumquatyard/internal/config"
+	"kumquatyard/internal/platform"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
@@ -41,32 +42,30 @@
 	}
 }
 
-// TestSilentWatchIsReplaced lets the only watch of a node without peers go
-// silent; newer watches work.
+// TestSilentWatchIsReplaced lets all connections of a node without peers go
+// silent, with the intervals that the product uses.
 func TestSilentWatchIsReplaced(t *testing.T) {
-	r := &fleetRun{kv: newFakeKV(1), network: &network{nodes: map[string]*node{}}}
-	kv := &client{r.kv, "ctl", &gate{}}
-	mustApply(t, kv, "first", "overrides/a", "drain: true\n")
-	n := r.addNode("z0", "n", true)
+	t.Parallel()
+	s := newStandinKV(t, 1)
+	mustApply(t, s.open(), "first", "overrides/a", "drain: true\n")
+	counter := &watchCounter{current: map[string]int{}, max: map[string]int{}}
+	const clientTimeout = 5 * time.Second
+	kv := &processKV{platform.NewKVClient(s.address, clientTimeout), "z0", &gate{}, counter}
+	k := NewKeeper(Options{KV: kv, Log: quietLog()})
+	k.SetWatcher(true)
 	ctx, stop := context.WithCancel(t.Context())
 	var running conc.WaitGroup
-	running.Go(func() { _ = n.keeper.Run(ctx) })
+	running.Go(func() { _ = k.Run(ctx) })
 	defer running.Wait()
 	defer stop()
-	for _, id := range []string{"second", "third"} {
-		await(t, "a watch", func() bool {
-			r.kv.mu.Lock()
-			defer r.kv.mu.Unlock()
-			return r.kv.watches["z0"] > 0
-		})
-		r.kv.set(func(f *fakeKV) { f.epoch++ })
-		mustApply(t, kv, id, "overrides/a", "note: "+id+"\n")
-		await(t, id, func() bool { return n.keeper.Version() == r.last() })
-	}
+	await(t, "a watch", func() bool { return counter.held("z0") > 0 })
+	s.inject(faults{silent: true})
+	mustApply(t, s.open(), "second", "overrides/a", "note: second\n")
+	await(t, "second", func() bool { return k.Version() == 2 })
 }
 
 func TestPeerSendsOnlyWhatChanged(t *testing.T) {
-	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
 	mustApply(t, kv, "2", "overrides/b", "drain: true\n")
 	k := NewKeeper(Options{KV: kv, Log: quietLog()})
@@ -92,8 +91,7 @@
 
 // TestKeeperRefusesWhatItCannotTrust offers damaged, older and invalid bundles.
 func TestKeeperRefusesWhatItCannotTrust(t *testing.T) {
-	r := &fleetRun{kv: newFakeKV(1), network: &network{nodes: map[string]*node{}}}
-	kv := &client{r.kv, "ctl", &gate{}}
+	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
 	mustApply(t, kv, "2", "overrides/a", "drain: false\n")
 	k := NewKeeper(Options{KV: kv, Log: quietLog()})
@@ -127,7 +125,7 @@
 }
 
 func TestRepeatedChange(t *testing.T) {
-	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
 	mustApply(t, kv, "2", "overrides/a", "drain: false\n")
 	again, err := NewWriter(kv).Apply(t.Context(), override("1", "overrides/a", "drain: true\n", config.Head{}))
@@ -157,7 +155,7 @@
 // TestCollectorKeepsWhatAWriterIsAboutToName deletes blobs between the writing
 // of a blob and of the head that names it.
 func TestCollectorKeepsWhatAWriterIsAboutToName(t *testing.T) {
-	kv := &client{newFakeKV(1), "ctl", &gate{}}
+	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
 	collector, now, deleted := NewCollector(kv), time.Unix(0, 0), 0
 	collect := func() {
