--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,169 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func agent(id string, incarnation uint64) Peer {
+	return Peer{ID: id, Incarnation: incarnation, Zone: "a", Address: "127.0.0.1:1", Role: "agent"}
+}
+
+func statusOf(t *testing.T, table *Table, id string, now time.Time) string {
+	t.Helper()
+	m, ok := table.Get(id, now)
+	if !ok {
+		return "forgotten"
+	}
+	return m.Status.String()
+}
+
+func TestStatusFollowsSilence(t *testing.T) {
+	table := NewTable(agent("self", 1), DefaultLimits)
+	table.Heard(agent("p", 1), start)
+	steps := []struct {
+		after time.Duration
+		want  string
+	}{
+		{time.Second, "alive"},
+		{4 * time.Second, "suspect"},
+		{11 * time.Second, "dead"},
+	}
+	for _, s := range steps {
+		if got := statusOf(t, table, "p", start.Add(s.after)); got != s.want {
+			t.Errorf("after %v: %s, want %s", s.after, got, s.want)
+		}
+	}
+	back := start.Add(time.Minute)
+	table.Heard(agent("p", 1), back)
+	if got := statusOf(t, table, "p", back); got != "alive" {
+		t.Errorf("peer that paused and returned is %s, want alive", got)
+	}
+	table.Tick(back.Add(11 * time.Minute))
+	if got := statusOf(t, table, "p", back.Add(11*time.Minute)); got != "forgotten" {
+		t.Errorf("peer silent for 11 min is %s, want forgotten", got)
+	}
+}
+
+func TestListLags(t *testing.T) {
+	table := NewTable(agent("self", 1), DefaultLimits)
+	entry := Listed{ID: "p", Zone: "a", Address: "127.0.0.1:1", Role: "agent"}
+	table.List([]Listed{entry}, start)
+	if got := statusOf(t, table, "p", start.Add(time.Hour)); got != "unheard" {
+		t.Errorf("listed peer is %s, want unheard", got)
+	}
+	table.Heard(agent("p", 1), start)
+	table.List(nil, start)
+	if got := statusOf(t, table, "p", start); got != "alive" {
+		t.Errorf("heard peer that the list lacks is %s, want alive", got)
+	}
+	entry.Leaving = true
+	table.List([]Listed{entry}, start)
+	if got := statusOf(t, table, "p", start); got != "leaving" {
+		t.Errorf("peer listed as leaving is %s", got)
+	}
+	table.Heard(agent("p", 2), start)
+	table.List([]Listed{entry}, start)
+	if got := statusOf(t, table, "p", start); got != "alive" {
+		t.Errorf("new incarnation under an old list entry is %s, want alive", got)
+	}
+}
+
+func drawPeer(t *rapid.T) Peer {
+	return Peer{
+		ID: "p", Incarnation: rapid.Uint64Range(0, 3).Draw(t, "incarnation"),
+		Zone: "a", Role: "agent",
+		Address: rapid.SampledFrom([]string{"", "127.0.0.1:1", "127.0.0.1:2"}).Draw(t, "address"),
+		Leaving: rapid.Bool().Draw(t, "leaving"),
+	}
+}
+
+func TestMergePeerLaws(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawPeer(t), drawPeer(t), drawPeer(t)
+		if diff := cmp.Diff(MergePeer(a, b), MergePeer(b, a)); diff != "" {
+			t.Fatalf("not commutative: %s", diff)
+		}
+		if diff := cmp.Diff(MergePeer(MergePeer(a, b), c), MergePeer(a, MergePeer(b, c))); diff != "" {
+			t.Fatalf("not associative: %s", diff)
+		}
+		if diff := cmp.Diff(a, MergePeer(a, a)); diff != "" {
+			t.Fatalf("not idempotent: %s", diff)
+		}
+	})
+}
+
+// The order, loss of all but the last copy and repetition of messages must not
+// matter for what is known about a peer.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := rapid.SliceOfN(rapid.Custom(drawPeer), 1, 8).Draw(t, "peers")
+		one, two := NewTable(agent("x", 1), DefaultLimits), NewTable(agent("y", 1), DefaultLimits)
+		for _, p := range peers {
+			one.Learned(p, start)
+		}
+		for _, i := range rapid.Permutation(indexes(len(peers))).Draw(t, "order") {
+			two.Learned(peers[i], start)
+			two.Learned(peers[rapid.IntRange(0, len(peers)-1).Draw(t, "again")], start)
+		}
+		a, _ := one.Get("p", start)
+		b, _ := two.Get("p", start)
+		if diff := cmp.Diff(a.Peer, b.Peer); diff != "" {
+			t.Fatalf("tables differ: %s", diff)
+		}
+	})
+}
+
+func indexes(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+func TestRendezvousMovesOnlyTheLostOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 30).Draw(t, "members")
+		var ids []string
+		for i := range n {
+			ids = append(ids, fmt.Sprintf("n%02d", i))
+		}
+		lost := ids[rapid.IntRange(0, n-1).Draw(t, "lost")]
+		left := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == lost })
+		for i := range 50 {
+			server := fmt.Sprintf("s%d", i)
+			before, after := Observers(server, ids), Observers(server, left)
+			if !slices.Contains(before, lost) && !slices.Equal(before, after) {
+				t.Fatalf("%s moved from %v to %v without losing an observer", server, before, after)
+			}
+		}
+	})
+}
+
+func TestHeartbeatFanInIsBounded(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 23, 60} {
+		in := map[string]int{}
+		for i := range n {
+			table := NewTable(agent(fmt.Sprintf("n%02d", i), 1), DefaultLimits)
+			for j := range n {
+				table.Heard(agent(fmt.Sprintf("n%02d", j), 1), start)
+			}
+			for _, m := range table.HeartbeatTargets(0, start) {
+				in[m.ID]++
+			}
+		}
+		for id, got := range in {
+			if want := min(HeartbeatFanOut, n-1); got != want {
+				t.Errorf("%d members: %s receives %d heartbeats a round, want %d", n, id, got, want)
+			}
+		}
+	}
+}
