observe: delta-coded digests, replicas and the merged view of servers

Ruled out: merging loads by measurement time alone (a digest delayed in transit makes an old load look new; found by TestReplicasConvergeAndNeverMoveBackwards), fixed by computing loads from each observer's last word and keeping only lifecycle for good. Change: versions with gaps answered by a full digest, seldom changing fields left out of deltas, loads reported from a difference of an eighth on, silence of a digest confirms what it leaves out, cache events bounded with a gap mark.

--- /dev/null
+++ b/internal/observe/cache.go
@@ -0,0 +1,58 @@
+package observe
+
+import "kumquatyard/internal/machine"
+
+// maxPendingHashes bounds the cache events kept for one server; the oldest are
+// dropped and leave a gap.
+const maxPendingHashes = 1024
+
+// CacheEvents are changes of one server's prefix cache, by block hash.
+type CacheEvents struct {
+	Added, Removed []uint64
+	// Gap tells that events were lost before these.
+	Gap bool
+}
+
+func (e CacheEvents) empty() bool { return len(e.Added) == 0 && len(e.Removed) == 0 && !e.Gap }
+
+// cacheLog holds the events that were not passed on yet.
+type cacheLog struct{ pending map[machine.ID]CacheEvents }
+
+func newCacheLog() cacheLog { return cacheLog{pending: map[machine.ID]CacheEvents{}} }
+
+// add records events and reports whether there were any.
+func (l *cacheLog) add(id machine.ID, added, removed []uint64, gap bool) bool {
+	if len(added) == 0 && len(removed) == 0 && !gap {
+		return false
+	}
+	e := l.pending[id]
+	e.Gap = e.Gap || gap
+	e.Added, e.Gap = appendBounded(e.Added, added, e.Gap)
+	e.Removed, e.Gap = appendBounded(e.Removed, removed, e.Gap)
+	l.pending[id] = e
+	return true
+}
+
+func appendBounded(log, more []uint64, gap bool) ([]uint64, bool) {
+	log = append(log, more...)
+	if over := len(log) - maxPendingHashes; over > 0 {
+		return append([]uint64(nil), log[over:]...), true
+	}
+	return log, gap
+}
+
+// take removes the server's events and returns up to limit of the newest
+// hashes. What is over the limit is lost and leaves a gap.
+func (l *cacheLog) take(id machine.ID, limit int) CacheEvents {
+	e := l.pending[id]
+	delete(l.pending, id)
+	limit = max(limit, 0)
+	removed := min(len(e.Removed), limit/2)
+	added := min(len(e.Added), limit-removed)
+	if added < len(e.Added) || removed < len(e.Removed) {
+		e.Gap = true
+	}
+	e.Added = e.Added[len(e.Added)-added:]
+	e.Removed = e.Removed[len(e.Removed)-removed:]
+	return e
+}
--- /dev/null
+++ b/internal/observe/codec.go
@@ -0,0 +1,93 @@
+package observe
+
+import (
+	"time"
+
+	"kumquatyard/internal/machine"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// noAdapters stands for an empty list of adapters, since an absent one means
+// that it did not change.
+const noAdapters = ""
+
+// encodeState codes s. Without stable fields, slots and adapters are absent,
+// which means unchanged; a server always has slots.
+func encodeState(s machine.State, now time.Time, stable bool, events CacheEvents) *pb.ServerState {
+	out := &pb.ServerState{
+		Id:              string(s.ID),
+		Incarnation:     s.Incarnation,
+		Lifecycle:       pb.Lifecycle(s.Lifecycle),
+		Running:         uint32(s.Load.Running),
+		Queued:          uint32(s.Load.Queued),
+		QueuedTokens:    uint64(s.Load.QueuedTokens),
+		TokensPerSecond: uint32(s.Load.TokensPerSecond),
+		AgeMs:           ageMillis(s.Load.At, now),
+		Unreachable:     s.Unreachable,
+		CacheAdded:      events.Added,
+		CacheRemoved:    events.Removed,
+		CacheGap:        events.Gap,
+	}
+	if !s.ReclaimAt.IsZero() {
+		out.ReclaimAtUnixMs = s.ReclaimAt.UnixMilli()
+	}
+	if !stable {
+		out.Incarnation = 0
+		return out
+	}
+	out.Slots = uint32(s.Load.Slots)
+	out.Adapters = s.Load.Adapters
+	if len(out.Adapters) == 0 {
+		out.Adapters = []string{noAdapters}
+	}
+	return out
+}
+
+func ageMillis(at, now time.Time) uint32 {
+	return uint32(max(0, now.Sub(at).Milliseconds()))
+}
+
+// decodeState is the inverse of encodeState; base supplies the fields that did
+// not change.
+func decodeState(in *pb.ServerState, base machine.State, now time.Time) machine.State {
+	out := machine.State{
+		ID:          machine.ID(in.GetId()),
+		Incarnation: in.GetIncarnation(),
+		Lifecycle:   machine.Lifecycle(in.GetLifecycle()),
+		Unreachable: in.GetUnreachable(),
+		Load: machine.Load{
+			At:              now.Add(-time.Duration(in.GetAgeMs()) * time.Millisecond),
+			Running:         int(in.GetRunning()),
+			Queued:          int(in.GetQueued()),
+			QueuedTokens:    int(in.GetQueuedTokens()),
+			TokensPerSecond: int(in.GetTokensPerSecond()),
+			Slots:           int(in.GetSlots()),
+			Adapters:        in.GetAdapters(),
+		},
+	}
+	if ms := in.GetReclaimAtUnixMs(); ms != 0 {
+		out.ReclaimAt = time.UnixMilli(ms)
+	}
+	switch {
+	case len(in.GetAdapters()) == 0:
+		out.Incarnation, out.Load.Slots, out.Load.Adapters = base.Incarnation, base.Load.Slots, base.Load.Adapters
+	case in.GetAdapters()[0] == noAdapters:
+		out.Load.Adapters = nil
+	}
+	return out
+}
+
+// EncodeView codes a merged state for a gateway, with all fields and adapters
+// as they are.
+func EncodeView(s machine.State, events CacheEvents, now time.Time) *pb.ServerState {
+	out := encodeState(s, now, true, events)
+	out.Adapters = s.Load.Adapters
+	return out
+}
+
+// DecodeView is the inverse of EncodeView for everything but cache events.
+func DecodeView(in *pb.ServerState, now time.Time) machine.State {
+	return decodeState(in, machine.State{
+		Incarnation: in.GetIncarnation(), Load: machine.Load{Slots: int(in.GetSlots())},
+	}, now)
+}
--- /dev/null
+++ b/internal/observe/publisher.go
@@ -0,0 +1,110 @@
+package observe
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"kumquatyard/internal/machine"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+type published struct {
+	state machine.State
+	// changed and stable are the versions at which the state and its seldom
+	// changing fields changed last.
+	changed, stable uint64
+}
+
+// Publisher holds what one process observes itself and codes it into digests.
+// It is not safe for concurrent use.
+type Publisher struct {
+	id          string
+	incarnation uint64
+	version     uint64
+	servers     map[machine.ID]published
+	cache       cacheLog
+}
+
+// NewPublisher returns a Publisher for the process id.
+func NewPublisher(id string, incarnation uint64) *Publisher {
+	return &Publisher{id: id, incarnation: incarnation, servers: map[machine.ID]published{}, cache: newCacheLog()}
+}
+
+// Version grows with every change that is worth telling.
+func (p *Publisher) Version() uint64 { return p.version }
+
+// Observe merges an observation and reports whether it is urgent: a lifecycle,
+// incarnation, reclaim time or reachability that others must hear at once.
+func (p *Publisher) Observe(s machine.State) (urgent bool) {
+	old, known := p.servers[s.ID]
+	merged := s
+	if known {
+		merged = machine.Merge(old.state, s)
+	}
+	if known && !significant(old.state, merged) {
+		old.state.Load.At = merged.Load.At
+		p.servers[s.ID] = old
+		return false
+	}
+	p.version++
+	next := published{state: merged, changed: p.version, stable: old.stable}
+	if !known || !sameStable(old.state, merged) {
+		next.stable = p.version
+	}
+	p.servers[s.ID] = next
+	return !known || !sameUrgent(old.state, merged)
+}
+
+// ObserveCache records cache events of a server; gap tells that some were lost.
+// They count as a change, so that a peer that misses them sees a gap.
+func (p *Publisher) ObserveCache(id machine.ID, added, removed []uint64, gap bool) {
+	if p.cache.add(id, added, removed, gap) {
+		p.version++
+	}
+}
+
+// State returns what was last observed of a server.
+func (p *Publisher) State(id machine.ID) (machine.State, bool) {
+	s, ok := p.servers[id]
+	return s.state, ok
+}
+
+// Forget drops a server that is no longer observed.
+func (p *Publisher) Forget(id machine.ID) {
+	delete(p.servers, id)
+	p.cache.take(id, 0)
+}
+
+// Observed returns the ids of the observed servers, ordered.
+func (p *Publisher) Observed() []machine.ID { return slices.Sorted(maps.Keys(p.servers)) }
+
+// Delta returns the changes since base and up to hashes cache events, which
+// are taken out: it is made once and sent to all peers.
+func (p *Publisher) Delta(base uint64, hashes int, now time.Time) *pb.Digest {
+	d := p.digest(base)
+	for _, id := range p.Observed() {
+		s := p.servers[id]
+		events := p.cache.take(id, hashes)
+		hashes -= len(events.Added) + len(events.Removed)
+		if s.changed <= base && events.empty() {
+			continue
+		}
+		d.Servers = append(d.Servers, encodeState(s.state, now, s.stable > base, events))
+	}
+	return d
+}
+
+// Full returns all states, for a peer that holds none or an old version. Cache
+// events are not repeated, which the receiver sees as a gap.
+func (p *Publisher) Full(now time.Time) *pb.Digest {
+	d := p.digest(0)
+	for _, id := range p.Observed() {
+		d.Servers = append(d.Servers, encodeState(p.servers[id].state, now, true, CacheEvents{Gap: true}))
+	}
+	return d
+}
+
+func (p *Publisher) digest(base uint64) *pb.Digest {
+	return &pb.Digest{Observer: p.id, Incarnation: p.incarnation, BaseVersion: base, Version: p.version}
+}
--- /dev/null
+++ b/internal/observe/store.go
@@ -0,0 +1,223 @@
+package observe
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"kumquatyard/internal/machine"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// ErrGap means that a digest builds on a version that the receiver lacks; the
+// sender answers with a full one.
+var ErrGap = errors.New("digest builds on a version that is not held")
+
+// ownReplica is the key of what the process learned itself; no observer has
+// an empty id.
+const ownReplica = ""
+
+// replica is one observer's states as a receiver holds them.
+type replica struct {
+	incarnation uint64
+	version     uint64
+	servers     map[machine.ID]machine.State
+	// heard is when the observer's last digest arrived.
+	heard time.Time
+}
+
+// Store merges the states of all observers. Within one incarnation of a server
+// its lifecycle never moves backwards, whatever arrives in whatever order. It
+// is not safe for concurrent use.
+type Store struct {
+	replicas map[string]*replica
+	merged   map[machine.ID]machine.State
+	dirty    map[machine.ID]bool
+	cache    cacheLog
+}
+
+// NewStore returns an empty Store.
+func NewStore() *Store {
+	own := &replica{servers: map[machine.ID]machine.State{}}
+	return &Store{
+		replicas: map[string]*replica{ownReplica: own}, merged: map[machine.ID]machine.State{},
+		dirty: map[machine.ID]bool{}, cache: newCacheLog(),
+	}
+}
+
+// Held returns the digest version held of observer's incarnation.
+func (s *Store) Held(observer string, incarnation uint64) uint64 {
+	r, ok := s.replicas[observer]
+	if !ok || r.incarnation != incarnation {
+		return 0
+	}
+	return r.version
+}
+
+// Apply takes a digest. Old and repeated ones change nothing; ErrGap asks for a
+// full one.
+func (s *Store) Apply(d *pb.Digest, now time.Time) error {
+	if d.GetObserver() == ownReplica {
+		return nil
+	}
+	r, ok := s.replicas[d.GetObserver()]
+	if ok && d.GetIncarnation() < r.incarnation {
+		return nil
+	}
+	if !ok || d.GetIncarnation() > r.incarnation {
+		r = &replica{incarnation: d.GetIncarnation(), servers: map[machine.ID]machine.State{}}
+	}
+	if d.GetVersion() < r.version {
+		return nil
+	}
+	if d.GetBaseVersion() > r.version || !r.canDecode(d) {
+		return ErrGap
+	}
+	s.replicas[d.GetObserver()] = r
+	s.applyTo(r, d, now)
+	return nil
+}
+
+// canDecode reports whether the states that d's deltas build on are held.
+func (r *replica) canDecode(d *pb.Digest) bool {
+	for _, in := range d.GetServers() {
+		if _, held := r.servers[machine.ID(in.GetId())]; !held && len(in.GetAdapters()) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Store) applyTo(r *replica, d *pb.Digest, now time.Time) {
+	r.confirm(now)
+	newer := d.GetVersion() > r.version
+	for _, in := range d.GetServers() {
+		id := machine.ID(in.GetId())
+		if _, held := r.servers[id]; newer || !held {
+			r.servers[id] = decodeState(in, r.servers[id], now)
+		}
+		if newer {
+			s.ObserveCache(id, in.GetCacheAdded(), in.GetCacheRemoved(), in.GetCacheGap())
+		}
+	}
+	for id := range r.servers {
+		s.merge(id)
+	}
+	r.version = d.GetVersion()
+}
+
+// confirm moves the measurement times forward: by its digest an observer says
+// that what it left out is as it was.
+func (r *replica) confirm(now time.Time) {
+	if !r.heard.IsZero() {
+		elapsed := now.Sub(r.heard)
+		for id, state := range r.servers {
+			state.Load.At = state.Load.At.Add(elapsed)
+			r.servers[id] = state
+		}
+	}
+	r.heard = now
+}
+
+// Observe takes a state that the process learned itself and reports whether
+// the server's urgent fields changed by it.
+func (s *Store) Observe(state machine.State) (urgent bool) {
+	own := s.replicas[ownReplica]
+	if old, known := own.servers[state.ID]; known {
+		state = machine.Merge(old, state)
+	}
+	own.servers[state.ID] = state
+	return s.merge(state.ID)
+}
+
+// merge recomputes a server's state from what each observer said last. Loads
+// come from the replicas alone: a message's delay makes an old load look new,
+// but the same observer's next one replaces it.
+func (s *Store) merge(id machine.ID) (urgent bool) {
+	old, known := s.merged[id]
+	merged := old
+	merged.Load = machine.Load{}
+	for _, r := range s.replicas {
+		state, held := r.servers[id]
+		switch {
+		case !held:
+		case merged.ID == "":
+			merged = state
+		default:
+			merged = machine.Merge(merged, state)
+		}
+	}
+	s.merged[id] = merged
+	urgent = !known || !sameUrgent(old, merged)
+	if urgent || !merged.Load.At.Equal(old.Load.At) {
+		s.dirty[id] = true
+	}
+	return urgent
+}
+
+// ObserveCache records cache events that the process learned itself.
+func (s *Store) ObserveCache(id machine.ID, added, removed []uint64, gap bool) {
+	if s.cache.add(id, added, removed, gap) {
+		s.dirty[id] = true
+	}
+}
+
+// State returns the merged state of a server.
+func (s *Store) State(id machine.ID) (machine.State, bool) {
+	state, ok := s.merged[id]
+	return state, ok
+}
+
+// States returns all merged states, ordered by id.
+func (s *Store) States() []machine.State {
+	out := make([]machine.State, 0, len(s.merged))
+	for _, id := range slices.Sorted(maps.Keys(s.merged)) {
+		out = append(out, s.merged[id])
+	}
+	return out
+}
+
+// TakeChanged returns the states that changed or were confirmed since the last
+// call, with their cache events.
+func (s *Store) TakeChanged(now time.Time) []*pb.ServerState {
+	out := make([]*pb.ServerState, 0, len(s.dirty))
+	for _, id := range slices.Sorted(maps.Keys(s.dirty)) {
+		if state, ok := s.merged[id]; ok {
+			out = append(out, EncodeView(state, s.cache.take(id, 2*maxPendingHashes), now))
+		}
+	}
+	clear(s.dirty)
+	return out
+}
+
+// All returns all states for a gateway that starts anew; events not yet taken
+// are dropped.
+func (s *Store) All(now time.Time) []*pb.ServerState {
+	out := make([]*pb.ServerState, 0, len(s.merged))
+	for _, state := range s.States() {
+		s.cache.take(state.ID, 0)
+		out = append(out, EncodeView(state, CacheEvents{Gap: true}, now))
+	}
+	clear(s.dirty)
+	return out
+}
+
+// Retain drops servers that keep does not accept.
+func (s *Store) Retain(keep func(machine.ID) bool) {
+	for id := range s.merged {
+		if !keep(id) {
+			delete(s.merged, id)
+			delete(s.dirty, id)
+			s.cache.take(id, 0)
+		}
+	}
+	for _, r := range s.replicas {
+		maps.DeleteFunc(r.servers, func(id machine.ID, _ machine.State) bool { return !keep(id) })
+	}
+}
+
+// DropObservers forgets the replicas of observers silent since before.
+func (s *Store) DropObservers(before time.Time) {
+	maps.DeleteFunc(s.replicas, func(id string, r *replica) bool { return id != ownReplica && r.heard.Before(before) })
+}
