gateway: streams, failover, resume, claims and evacuation

Cause: no process served callers yet. Ruled out: reusing connections for requests that must not repeat (a keepalive race makes their verdict may_have_run for nothing); the HTTP library's own write timeout (it bounds a whole stream). Change: one connection of its own for each stream, so that closing it ends the reader at once; verdicts cover all attempts of a request; a caller still sending an oversized body is read from for a short while so that the refusal arrives. Seen first: the oversized body was reset before its 413 (TestRefusals), and middlewares ran for requests that the library could not read whole.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 TOOL := go tool -modfile=tools/go.mod
 PACKAGES := ./...
 SEED ?= 1
+SOURCES = $(wildcard cmd internal test)
 
 .PHONY: build
 build:
@@ -14,11 +15,11 @@
 
 .PHONY: fmt
 fmt:
-	$(TOOL) gofumpt -w cmd internal test
+	$(TOOL) gofumpt -w $(SOURCES)
 
 .PHONY: lint
 lint:
-	@test -z "$$($(TOOL) gofumpt -l cmd internal test)" || { echo "gofumpt: run make fmt for:"; $(TOOL) gofumpt -l cmd internal test; exit 1; }
+	@test -z "$$($(TOOL) gofumpt -l $(SOURCES))" || { echo "gofumpt: run make fmt for:"; $(TOOL) gofumpt -l $(SOURCES); exit 1; }
 	go vet $(PACKAGES)
 	$(TOOL) staticcheck $(PACKAGES)
 
--- a/internal/configstore/history_test.go
+++ b/internal/configstore/history_test.go
@@ -137,7 +137,7 @@
 	counter *watchCounter
 	// final is the last version committed, once the operators are done.
 	final uint64
-	start   time.Time
+	start time.Time
 	// broken runs have a mechanism switched off and need not settle.
 	broken bool
 
--- /dev/null
+++ b/internal/gateway/chat.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/prefix"
+)
+
+const (
+	// defaultMaxTokens is used when a request does not bound its answer.
+	defaultMaxTokens = 512
+	// maxPromptBlocks bounds the prefix hashes kept for one request.
+	maxPromptBlocks = 512
+)
+
+// chatRequest is a checked request for a model.
+type chatRequest struct {
+	id        string
+	workspace config.Workspace
+	contract  contract.Contract
+	model     string
+	stream    bool
+	maxTokens int
+	// body is what engines get; it always asks for a stream, so that an
+	// answer can be continued from any token.
+	body         []byte
+	prefix       []uint64
+	promptTokens int
+	// deadline is when the first token must have arrived.
+	deadline time.Time
+}
+
+type chatBody struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	Stream    bool `json:"stream"`
+	MaxTokens int  `json:"max_tokens"`
+}
+
+func newChatRequest(ct contract.Contract, ws config.Workspace, body []byte, deadline time.Time) (*chatRequest, error) {
+	var parsed chatBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return nil, notRun(contract.KindInvalid, 0, fmt.Sprintf("the body is not a chat completion request: %v", err))
+	}
+	if parsed.Model == "" || len(parsed.Messages) == 0 {
+		return nil, notRun(contract.KindInvalid, 0, `"model" and "messages" are required`)
+	}
+	if parsed.MaxTokens < 0 {
+		return nil, notRun(contract.KindInvalid, 0, `"max_tokens" must be positive`)
+	}
+	var prompt bytes.Buffer
+	for _, m := range parsed.Messages {
+		prompt.WriteString(m.Role + "\n" + m.Content + "\n")
+	}
+	r := &chatRequest{
+		id:           uuid.NewString(),
+		workspace:    ws,
+		contract:     ct,
+		model:        parsed.Model,
+		stream:       parsed.Stream,
+		maxTokens:    parsed.MaxTokens,
+		body:         body,
+		promptTokens: prefix.Tokens(prompt.Len()),
+		deadline:     deadline,
+	}
+	if r.maxTokens == 0 {
+		r.maxTokens = defaultMaxTokens
+	}
+	hashed := prompt.Bytes()[:min(prompt.Len(), maxPromptBlocks*prefix.BlockBytes)]
+	r.prefix = prefix.Chain(nil, r.model, hashed)
+	if !r.stream {
+		return r, r.askForStream()
+	}
+	return r, nil
+}
+
+// askForStream rewrites the body to ask for a stream and keeps every other member.
+func (r *chatRequest) askForStream() error {
+	members := make(map[string]json.RawMessage)
+	if err := json.Unmarshal(r.body, &members); err != nil {
+		return notRun(contract.KindInvalid, 0, err.Error())
+	}
+	members["stream"] = json.RawMessage("true")
+	body, err := json.Marshal(members)
+	if err != nil {
+		return notRun(contract.KindInvalid, 0, err.Error())
+	}
+	r.body = body
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/once.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"kumquatyard/internal/claim"
+	"kumquatyard/internal/contract"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	// claimTimeout bounds one call for a claim.
+	claimTimeout = 3 * time.Second
+	// claimCalls is the number of calls for one claim when replies are lost.
+	claimCalls = 2
+	// claimWait is the longest that one call waits for the run in progress.
+	claimWait = 2 * time.Second
+	// claimMargin is kept of the deadline to answer the caller.
+	claimMargin = 50 * time.Millisecond
+	// settleTimeout bounds the attempts to record an outcome.
+	settleTimeout = 10 * time.Second
+	// retryAfterClaims is when a caller may come back while claims cannot be made.
+	retryAfterClaims = time.Second
+)
+
+// sendOnce runs a request that is not idempotent at most once for its key,
+// over all gateways.
+func (g *Gateway) sendOnce(c fiber.Ctx, ctx context.Context, req *plainRequest) (plainAnswer, error) {
+	if req.key == "" {
+		return g.sendPlain(ctx, req)
+	}
+	key, runID := claim.Key(req.who.workspace.Name, req.key), uuid.NewString()
+	reply, err := g.claim(ctx, key, runID, req)
+	if err != nil {
+		return plainAnswer{}, err
+	}
+	if reply.GetOutcome() != pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED {
+		c.Set(headerReplayed, "true")
+		return replay(reply)
+	}
+	ans, err := g.sendPlain(ctx, req)
+	g.activity.spawn(func() { g.settle(key, req.id, runID, ans, err) })
+	return ans, err
+}
+
+// claim asks for the right to run req. While another run holds it, the reply
+// waits for that run's outcome until the request's deadline.
+func (g *Gateway) claim(ctx context.Context, key []byte, runID string, req *plainRequest) (*pb.ClaimReply, error) {
+	defer func(start time.Time) { claimSeconds.Update(since(start)) }(time.Now())
+	ctx, span := tracer.Start(ctx, "gateway.claim")
+	defer span.End()
+	message := &pb.ClaimRequest{
+		Key:          key,
+		Fingerprint:  claim.Fingerprint(req.method, req.uri, req.body),
+		RequestId:    req.id,
+		RunId:        runID,
+		Gateway:      g.settings.ID,
+		RunTimeoutMs: uint32((time.Until(req.who.deadline) + settleTimeout).Milliseconds()),
+	}
+	for {
+		message.WaitMs = uint32(min(claimWait, max(0, time.Until(req.who.deadline)-claimMargin)).Milliseconds())
+		reply, err := g.callForClaim(ctx, message)
+		if err != nil || reply.GetOutcome() != pb.ClaimOutcome_CLAIM_OUTCOME_RUNNING || message.WaitMs == 0 {
+			return reply, err
+		}
+	}
+}
+
+// callForClaim calls for a claim, again with the same request id when the
+// reply was lost. Whatever goes wrong, nothing was sent to a server yet, so
+// that the refusal is truly NotRun; a claim that may have been granted
+// meanwhile is given back.
+func (g *Gateway) callForClaim(ctx context.Context, message *pb.ClaimRequest) (*pb.ClaimReply, error) {
+	var last *contract.Error
+	for range claimCalls {
+		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		resp, err := g.agent.Call(callCtx, g.settings.Agent, &pb.Request{Body: &pb.Request_Claim{Claim: message}})
+		cancel()
+		if err == nil {
+			return resp.GetClaim(), nil
+		}
+		last = asRefusal(err)
+		if last.Verdict == contract.NotRun || ctx.Err() != nil {
+			break
+		}
+	}
+	refusal := notRun(contract.KindUnavailable, max(last.RetryAfter, retryAfterClaims), "the idempotency key cannot be claimed now")
+	refusal.Err = last
+	if last.Verdict != contract.NotRun {
+		g.activity.spawn(func() {
+			g.settle(message.GetKey(), message.GetRequestId(), message.GetRunId(), plainAnswer{}, refusal)
+		})
+	}
+	return nil, refusal
+}
+
+// replay answers a repeat from what the claim says of the first run.
+func replay(reply *pb.ClaimReply) (plainAnswer, error) {
+	switch reply.GetOutcome() {
+	case pb.ClaimOutcome_CLAIM_OUTCOME_RAN:
+		a := reply.GetAnswer()
+		if a == nil || a.GetTruncated() {
+			return plainAnswer{}, &contract.Error{Kind: contract.KindConflict, Verdict: contract.Ran, Message: "the request ran before; its answer was too large to keep"}
+		}
+		return plainAnswer{status: int(a.GetStatus()), contentType: a.GetContentType(), body: a.GetBody()}, nil
+	case pb.ClaimOutcome_CLAIM_OUTCOME_MISMATCH:
+		return plainAnswer{}, notRun(contract.KindConflict, 0, "the Idempotency-Key was used for another request")
+	case pb.ClaimOutcome_CLAIM_OUTCOME_RUNNING:
+		return plainAnswer{}, &contract.Error{Kind: contract.KindConflict, Verdict: contract.MayHaveRun, RetryAfter: retryAfterClaims, Message: "the first run with this Idempotency-Key has not ended"}
+	default:
+		return plainAnswer{}, &contract.Error{Kind: contract.KindConflict, Verdict: contract.MayHaveRun, Message: "the first run with this Idempotency-Key ended without a known outcome"}
+	}
+}
+
+// settle records how a claimed run ended. When that fails for good, the claim
+// stays open and repeats hear that the request may have run.
+func (g *Gateway) settle(key []byte, requestID, runID string, ans plainAnswer, runErr error) {
+	s := &pb.ClaimSettle{Key: key, RequestId: requestID, RunId: runID, Verdict: pb.Verdict_VERDICT_RAN, Answer: answerToProto(ans)}
+	if runErr != nil {
+		s.Answer = nil
+		s.Verdict = pb.Verdict_VERDICT_MAY_HAVE_RUN
+		if contract.VerdictOf(runErr) == contract.NotRun {
+			s.Verdict = pb.Verdict_VERDICT_NOT_RUN
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	_, err := backoff.Retry(ctx, func() (*pb.Response, error) {
+		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
+		defer cancel()
+		return g.agent.Call(callCtx, g.settings.Agent, &pb.Request{Body: &pb.Request_Settle{Settle: s}})
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()))
+	if err != nil {
+		g.log.WithError(err).WithField("request", requestID).Warn("the outcome of a claimed request could not be recorded")
+	}
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,327 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"kumquatyard/internal/answer"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/route"
+)
+
+const (
+	// stallTimeout is the silence between tokens after which a stream's
+	// connection counts as lost.
+	stallTimeout = 3 * time.Second
+	// chunksAhead bounds the chunks held for one answer out of order.
+	chunksAhead = 1024
+	// retryAfterNoServer is when a caller may come back when no server takes its request.
+	retryAfterNoServer = 2 * time.Second
+	// heldTries is the number of times a lost stream is picked up at the same engine.
+	heldTries = 2
+)
+
+// errReconnect ends a stream on a planned stop; the caller resumes it at
+// another gateway.
+var errReconnect = errors.New("the gateway is stopping; reconnect with Last-Event-ID")
+
+// run is one chat request on its way through any number of engines.
+type run struct {
+	g       *Gateway
+	req     *chatRequest
+	ctx     context.Context
+	span    trace.Span
+	asm     *answer.Assembler
+	attempt uint32
+	src     *source
+	server  *machine.Server
+	signed  string
+	exclude []machine.ID
+	sending sending
+	// held counts pick-ups at the same engine since the last token.
+	held      int
+	started   time.Time
+	heartbeat time.Duration
+	moves     chan move
+	cached    int
+	out       []answer.Chunk
+	// position is what the evacuation of leaving servers reads of the run.
+	position atomic.Pointer[runPosition]
+}
+
+// runPosition is where a run is.
+type runPosition struct {
+	server    machine.ID
+	generated atomic.Uint32
+	firstAt   time.Time
+}
+
+func (g *Gateway) newRun(ctx context.Context, req *chatRequest, next uint32) *run {
+	ctx, span := tracer.Start(ctx, "gateway.run", trace.WithAttributes(attribute.String("request.id", req.id)))
+	r := &run{
+		g: g, req: req, ctx: ctx, span: span,
+		asm:       answer.NewAssembler(next, chunksAhead),
+		sending:   sending{g: g, workspace: req.workspace.Name, idempotent: req.contract.Idempotent},
+		started:   time.Now(),
+		heartbeat: g.keeper.load().cfg.Limits.HeartbeatEvery,
+		moves:     make(chan move, 1),
+	}
+	if r.heartbeat <= 0 {
+		r.heartbeat = time.Second
+	}
+	g.runs.add(r)
+	return r
+}
+
+// close releases what the run holds. The engine keeps the stream for a while,
+// so that a caller that lost its connection may resume it elsewhere.
+func (r *run) close() {
+	r.g.runs.remove(r)
+	r.detach()
+	r.span.End()
+}
+
+func (r *run) detach() {
+	if r.src != nil {
+		r.src.close()
+		r.src = nil
+	}
+}
+
+// next returns the next tokens of the answer; none after a quiet heartbeat
+// interval. It moves to another engine as often as the retry policy allows.
+func (r *run) next() ([]answer.Chunk, error) {
+	for {
+		if r.src == nil {
+			if err := r.open(); err != nil {
+				return nil, err
+			}
+		}
+		chunks, err := r.receive()
+		if err == nil {
+			return chunks, nil
+		}
+		if errors.Is(err, errReconnect) {
+			return nil, err
+		}
+		r.lose(err)
+	}
+}
+
+// receive waits for the source's next event.
+func (r *run) receive() ([]answer.Chunk, error) {
+	stall, stop := newTimer(r.patience())
+	defer stop()
+	quiet, stopQuiet := newTimer(r.heartbeat)
+	defer stopQuiet()
+	select {
+	case e := <-r.src.events:
+		return r.take(e)
+	case <-stall:
+		return nil, &contract.Error{Kind: contract.KindDeadline, Verdict: contract.MayHaveRun, Message: "the engine went silent"}
+	case m := <-r.moves:
+		return nil, r.relocate(m)
+	case <-r.g.stopping:
+		return nil, errReconnect
+	case <-quiet:
+		return nil, nil
+	}
+}
+
+// patience is the time until the source counts as lost.
+func (r *run) patience() time.Duration {
+	if r.asm.Next() > 0 {
+		return stallTimeout
+	}
+	return max(time.Until(r.req.deadline), 0)
+}
+
+func (r *run) take(e sourceEvent) ([]answer.Chunk, error) {
+	switch {
+	case e.err != nil:
+		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the engine's stream broke", Err: e.err}
+	case e.end:
+		if r.asm.Done() {
+			return nil, nil
+		}
+		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: errStreamEnded.Error(), Err: errStreamEnded}
+	}
+	first := r.asm.Next() == 0
+	var ok bool
+	r.out, ok = r.asm.Add(r.out[:0], e.chunk)
+	if !ok {
+		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "too many chunks out of order"}
+	}
+	if len(r.out) > 0 {
+		r.held = 0
+		r.position.Load().generated.Store(r.asm.Next())
+		if first {
+			r.firstToken(e.cached)
+		}
+	}
+	return r.out, nil
+}
+
+func (r *run) firstToken(cached int) {
+	r.cached = cached
+	firstTokenSeconds.Update(since(r.started))
+}
+
+// lose gives the current source up after a failure.
+func (r *run) lose(err error) {
+	if errors.Is(err, errMoved) {
+		return
+	}
+	r.sending.mayHaveRun = true
+	r.g.journal.note(r.req.id, "lost %s at token %d: %v", r.server.ID, r.asm.Next(), err)
+	r.span.AddEvent("lost", trace.WithAttributes(attribute.String("server", string(r.server.ID))))
+	r.detach()
+}
+
+// open finds an engine for the rest of the answer.
+func (r *run) open() error {
+	if r.server != nil && r.held < heldTries && r.attempt > 0 {
+		r.held++
+		if r.pickUp(r.server) == nil {
+			return nil
+		}
+	}
+	if r.server != nil {
+		r.g.tracker.failed(r.server.ID)
+		r.abandon(r.server)
+	}
+	return r.openElsewhere()
+}
+
+// openElsewhere sends the rest of the answer to one engine after another.
+func (r *run) openElsewhere() error {
+	var last error
+	for {
+		choice, ok := r.choose(r.g.keeper.load())
+		if !ok {
+			return r.sending.noServer(r.req.contract.Pool)
+		}
+		if !r.sending.spend(choice.Server.ID) && r.asm.Next() == 0 {
+			return r.sending.refusal(last)
+		}
+		last = r.send(choice.Server)
+		if last == nil {
+			r.g.journal.routed(r.req.id, choice.Server.ID, choice.Reason, choice.ReusableTokens)
+			return nil
+		}
+		r.g.journal.note(r.req.id, "%s failed: %v", choice.Server.ID, last)
+		if err := r.backOff(choice.Server.ID, last); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *run) choose(p *picture) (route.Choice, bool) {
+	return p.view.Choose(&route.Request{
+		Pool: r.req.contract.Pool, Model: r.req.model, Prefix: r.req.prefix,
+		PromptTokens: r.req.promptTokens + int(r.asm.Next()), MaxTokens: r.req.maxTokens,
+		Priority: r.req.contract.Priority, Exclude: r.exclude, Seed: seed(), Now: time.Now(),
+	})
+}
+
+// backOff waits before another engine is tried after a failed send, or
+// returns the refusal that ends the request.
+func (r *run) backOff(server machine.ID, cause error) error {
+	r.exclude = append(r.exclude, server)
+	r.g.tracker.failed(server)
+	delay, err := r.sending.failed(cause, r.bound())
+	if err != nil {
+		return err
+	}
+	timer, stop := newTimer(delay)
+	defer stop()
+	select {
+	case <-timer:
+		return nil
+	case <-r.g.stopping:
+		return errReconnect
+	}
+}
+
+// bound is when the answer, or its continuation, is given up.
+func (r *run) bound() time.Time {
+	if r.asm.Next() == 0 {
+		return r.req.deadline
+	}
+	return time.Now().Add(stallTimeout)
+}
+
+// send starts the rest of the answer at an engine.
+func (r *run) send(s *route.Server) error {
+	if err := r.g.confirm(r.ctx, s); err != nil {
+		return err
+	}
+	r.attempt++
+	attemptsTotal.Inc()
+	offset := r.asm.Begin(r.attempt)
+	req := newEngineRequest(r.req, &s.Server, r.attempt, offset)
+	defer fasthttp.ReleaseRequest(req)
+	err := r.connect(req, &s.Server)
+	if err == nil && offset > 0 {
+		continuedTokensTotal.Add(int(offset))
+	}
+	if err != nil && contract.VerdictOf(err) == contract.NotRun {
+		r.g.noteRefusal(s)
+	}
+	return err
+}
+
+// pickUp reads on from the stream that server still holds; nothing is computed again.
+func (r *run) pickUp(server *machine.Server) error {
+	r.attempt++
+	offset := r.asm.Begin(r.attempt)
+	req := newHeldRequest(r.req.id, server, offset)
+	defer fasthttp.ReleaseRequest(req)
+	return r.connect(req, server)
+}
+
+func (r *run) connect(req *fasthttp.Request, server *machine.Server) error {
+	ctx, cancel := context.WithDeadline(r.ctx, r.bound())
+	defer cancel()
+	ctx, span := tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server", string(server.ID)), attribute.Int("attempt", int(r.attempt))))
+	defer span.End()
+	src, err := r.g.openSource(ctx, req, server, r.attempt)
+	if err != nil {
+		span.RecordError(err)
+		return err
+	}
+	signed, err := r.g.keeper.load().signer.Sign(answer.Position{
+		RequestID: r.req.id, Workspace: r.req.workspace.Name, Pool: r.req.contract.Pool, Server: server.ID, Attempt: r.attempt,
+	}, time.Now())
+	if err != nil {
+		src.close()
+		return err
+	}
+	inFlight := r.g.tracker.server(server.ID).inFlight
+	tokens := r.req.promptTokens + r.req.maxTokens
+	inFlight.Add(tokens)
+	src.release = func() { inFlight.Done(tokens) }
+	r.src, r.server, r.signed = src, server, signed
+	position := &runPosition{server: server.ID, firstAt: time.Now()}
+	position.generated.Store(r.asm.Next())
+	r.position.Store(position)
+	return nil
+}
+
+// abandon excludes an engine whose stream was lost and cancels it there.
+func (r *run) abandon(server *machine.Server) {
+	if !slices.Contains(r.exclude, server.ID) {
+		r.exclude = append(r.exclude, server.ID)
+	}
+	r.server = nil
+	r.g.activity.spawn(func() { r.g.cancelStream(server, r.req.id) })
+}
--- /dev/null
+++ b/internal/gateway/service.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"kumquatyard/internal/admit"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/route"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// plainRequest is a request for a plain service.
+type plainRequest struct {
+	id     string
+	who    caller
+	method string
+	uri    string
+	key    string
+	header map[string]string
+	body   []byte
+}
+
+// plainAnswer is a server's answer to a plainRequest.
+type plainAnswer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// forwardedHeaders are the caller's headers that servers get.
+var forwardedHeaders = []string{fiber.HeaderContentType, fiber.HeaderAccept, fiber.HeaderAcceptLanguage, headerIdempotencyKey}
+
+// servePlain answers a request for a plain service.
+func (g *Gateway) servePlain(c fiber.Ctx) error {
+	who, err := g.identify(c)
+	if err != nil {
+		return err
+	}
+	if who.contract.Target != contract.Service {
+		return notRun(contract.KindNotFound, 0, "models are served at "+chatPath)
+	}
+	req := newPlainRequest(c, who)
+	c.Set(headerRequestID, req.id)
+	if who.contract.KeyRequired && req.key == "" {
+		return notRun(contract.KindInvalid, 0, "this path needs an Idempotency-Key header")
+	}
+	defer g.activity.begin()()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.Context()), who.deadline)
+	defer cancel()
+	leave, err := g.admit(ctx, who, len(req.body))
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	var ans plainAnswer
+	if who.contract.Idempotent {
+		ans, err = g.sendPlain(ctx, req)
+	} else {
+		ans, err = g.sendOnce(c, ctx, req)
+	}
+	leave(admit.Outcome{Latency: time.Since(began), Failed: err != nil})
+	if err != nil {
+		return err
+	}
+	c.Set(headerVerdict, contract.Ran.String())
+	c.Set(fiber.HeaderContentType, ans.contentType)
+	return c.Status(ans.status).Send(ans.body)
+}
+
+func newPlainRequest(c fiber.Ctx, who caller) *plainRequest {
+	req := &plainRequest{
+		id:     uuid.NewString(),
+		who:    who,
+		method: c.Method(),
+		uri:    c.OriginalURL(),
+		key:    c.Get(headerIdempotencyKey),
+		header: make(map[string]string, len(forwardedHeaders)),
+		body:   ownBody(c),
+	}
+	for _, name := range forwardedHeaders {
+		if value := c.Get(name); value != "" {
+			req.header[name] = value
+		}
+	}
+	return req
+}
+
+// sendPlain sends a request to one server after another for as long as the
+// retry policy allows. A request that is not idempotent goes on only while
+// the verdict is NotRun.
+func (g *Gateway) sendPlain(ctx context.Context, req *plainRequest) (plainAnswer, error) {
+	sending := sending{g: g, workspace: req.who.workspace.Name, idempotent: req.who.contract.Idempotent}
+	var exclude []machine.ID
+	var last error
+	for {
+		choice, ok := g.keeper.load().view.Choose(&route.Request{
+			Pool: req.who.contract.Pool, Priority: req.who.contract.Priority, Exclude: exclude, Seed: seed(), Now: time.Now(),
+		})
+		if !ok {
+			return plainAnswer{}, sending.noServer(req.who.contract.Pool)
+		}
+		if !sending.spend(choice.Server.ID) {
+			return plainAnswer{}, sending.refusal(last)
+		}
+		ans, err := g.trySend(ctx, req, choice.Server, sending.attempts)
+		if err == nil {
+			g.journal.routed(req.id, choice.Server.ID, choice.Reason, 0)
+			return ans, nil
+		}
+		g.journal.note(req.id, "%s failed: %v", choice.Server.ID, err)
+		last = err
+		exclude = append(exclude, choice.Server.ID)
+		delay, err := sending.failed(err, req.who.deadline)
+		if err != nil {
+			return plainAnswer{}, err
+		}
+		time.Sleep(delay)
+	}
+}
+
+// trySend sends the request to s once.
+func (g *Gateway) trySend(ctx context.Context, req *plainRequest, s *route.Server, attempt int) (plainAnswer, error) {
+	if err := g.confirm(ctx, s); err != nil {
+		return plainAnswer{}, err
+	}
+	attemptsTotal.Inc()
+	ctx, span := tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("server", string(s.ID)), attribute.Int("attempt", attempt)))
+	defer span.End()
+	track := g.tracker.server(s.ID)
+	track.inFlight.Add(len(req.body))
+	defer track.inFlight.Done(len(req.body))
+	began := time.Now()
+	ans, err := g.exchange(ctx, req, s, attempt)
+	if err != nil {
+		g.tracker.failed(s.ID)
+		span.RecordError(err)
+		if contract.VerdictOf(err) == contract.NotRun {
+			g.noteRefusal(s)
+		}
+		return ans, err
+	}
+	g.tracker.succeeded(s.ID, time.Since(began))
+	return ans, nil
+}
+
+func (g *Gateway) exchange(ctx context.Context, in *plainRequest, s *route.Server, attempt int) (plainAnswer, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(in.method)
+	req.SetRequestURI(serverURL(&s.Server, in.uri))
+	for name, value := range in.header {
+		req.Header.Set(name, value)
+	}
+	req.Header.Set(headerRequestID, in.id)
+	req.Header.Set(headerAttempt, strconv.Itoa(attempt))
+	req.SetBodyRaw(in.body)
+	if err := g.upstream.do(ctx, req, resp, in.who.contract.Idempotent); err != nil {
+		return plainAnswer{}, err
+	}
+	defer func() { _ = resp.CloseBodyStream() }()
+	if err := refusedByServer(resp); err != nil {
+		return plainAnswer{}, err
+	}
+	body, err := resp.BodyUncompressed()
+	if err != nil {
+		return plainAnswer{}, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's answer broke off", Err: err}
+	}
+	return plainAnswer{
+		status:      resp.StatusCode(),
+		contentType: string(resp.Header.ContentType()),
+		body:        append([]byte(nil), body...),
+	}, nil
+}
+
+func answerToProto(a plainAnswer) *pb.StoredAnswer {
+	return &pb.StoredAnswer{Status: uint32(a.status), ContentType: a.contentType, Body: a.body}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,52 @@
+// Package gateway serves callers: it authenticates, admits, routes and relays
+// their requests, and answers each with its whole answer or a refusal that
+// carries a verdict. It is the only process on the path of a request.
+package gateway
+
+import (
+	"time"
+
+	"kumquatyard/internal/link"
+	"kumquatyard/internal/telemetry"
+)
+
+// Settings are the keys of kumquat-gateway's settings file.
+type Settings struct {
+	ID   string `yaml:"id" validate:"required"`
+	Zone string `yaml:"zone" validate:"required"`
+	// Listen is the address for callers.
+	Listen string        `yaml:"listen" validate:"required,hostname_port"`
+	Link   link.Settings `yaml:"link" validate:"required"`
+	// Agent is the link address of the agent on this entry instance.
+	Agent     string             `yaml:"agent" validate:"required,hostname_port"`
+	Telemetry telemetry.Settings `yaml:"telemetry"`
+	// ReadTimeout bounds the time to receive a whole request.
+	ReadTimeout time.Duration `yaml:"read_timeout"`
+	// IdleTimeout closes callers' connections that stay unused.
+	IdleTimeout time.Duration `yaml:"idle_timeout"`
+	// WriteTimeout bounds the time a caller may take to accept a write.
+	WriteTimeout time.Duration `yaml:"write_timeout"`
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024"`
+	// MaxBodyBytes bounds any body; contracts may set less.
+	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
+	// DrainDelay is the time between failing /readyz and refusing new
+	// requests, so that the balancer sees it first.
+	DrainDelay time.Duration `yaml:"drain_delay"`
+	// GracePeriod bounds the time that accepted requests get to finish on a
+	// planned stop before streams are told to reconnect elsewhere.
+	GracePeriod time.Duration `yaml:"grace_period"`
+}
+
+// DefaultSettings returns the values of keys that a settings file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		ReadTimeout:    15 * time.Second,
+		IdleTimeout:    60 * time.Second,
+		WriteTimeout:   10 * time.Second,
+		MaxHeaderBytes: 16 << 10,
+		MaxBodyBytes:   8 << 20,
+		DrainDelay:     2 * time.Second,
+		GracePeriod:    25 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/gateway/source.go
@@ -0,0 +1,210 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatyard/internal/answer"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+)
+
+const (
+	// eventLineBytes bounds one line of an engine's event stream.
+	eventLineBytes = 64 << 10
+	// sourceBuffer is the number of events read ahead of the caller.
+	sourceBuffer = 32
+)
+
+// errStreamEnded is an event stream that closed before its last event.
+var errStreamEnded = errors.New("the engine's stream ended early")
+
+// engineChunk is an OpenAI chunk with the members that engines add to it.
+type engineChunk struct {
+	Offset       uint32 `json:"offset"`
+	CachedTokens int    `json:"cached_tokens"`
+	PromptTokens int    `json:"prompt_tokens"`
+	Choices      []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// sourceEvent is one chunk, the end of the stream, or its failure.
+type sourceEvent struct {
+	chunk  answer.Chunk
+	cached int
+	end    bool
+	err    error
+}
+
+// source is one engine's event stream on a connection of its own, so that
+// closing the connection ends the reader at once.
+type source struct {
+	server  machine.ID
+	attempt uint32
+	events  chan sourceEvent
+	conn    net.Conn
+	done    chan struct{}
+	release func()
+}
+
+// openSource sends req and returns the stream of its answer. The header of the
+// answer arrives before the deadline of ctx.
+func (g *Gateway) openSource(ctx context.Context, req *fasthttp.Request, server *machine.Server, attempt uint32) (*source, error) {
+	s := &source{server: server.ID, attempt: attempt, events: make(chan sourceEvent, sourceBuffer), done: make(chan struct{})}
+	client := newHTTPClient()
+	client.Dial = func(addr string) (net.Conn, error) {
+		conn, err := fasthttp.DialTimeout(addr, dialTimeout)
+		if err != nil {
+			return nil, &dialError{err}
+		}
+		s.conn = conn
+		return conn, nil
+	}
+	single := &upstream{fresh: client}
+	resp := fasthttp.AcquireResponse()
+	if err := single.do(ctx, req, resp, false); err != nil {
+		if s.conn != nil {
+			_ = s.conn.Close()
+		}
+		return nil, err
+	}
+	if err := answerError(resp); err != nil {
+		_ = resp.CloseBodyStream()
+		fasthttp.ReleaseResponse(resp)
+		return nil, err
+	}
+	g.activity.spawn(func() { s.read(resp) })
+	return s, nil
+}
+
+// answerError returns the error of an answer that carries no stream.
+func answerError(resp *fasthttp.Response) error {
+	if err := refusedByServer(resp); err != nil {
+		return err
+	}
+	switch status := resp.StatusCode(); {
+	case status == fasthttp.StatusOK:
+		return nil
+	case status == fasthttp.StatusNotFound:
+		return &contract.Error{Kind: contract.KindNotFound, Verdict: contract.MayHaveRun, Message: "the engine does not hold the stream"}
+	case status >= 400 && status < 500:
+		return notRun(contract.KindInvalid, 0, fmt.Sprintf("the engine rejected the request with status %d", status))
+	default:
+		return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: fmt.Sprintf("the engine failed with status %d", status)}
+	}
+}
+
+// read turns the body into events until it ends or the connection is closed.
+func (s *source) read(resp *fasthttp.Response) {
+	defer fasthttp.ReleaseResponse(resp)
+	defer func() { _ = resp.CloseBodyStream() }()
+	lines := bufio.NewReaderSize(resp.BodyStream(), eventLineBytes)
+	for {
+		line, err := lines.ReadSlice('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = errStreamEnded
+			}
+			s.send(sourceEvent{err: err})
+			return
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data: "))
+		if !ok {
+			continue
+		}
+		event := s.parse(data)
+		if !s.send(event) || event.end || event.err != nil {
+			return
+		}
+	}
+}
+
+func (s *source) parse(data []byte) sourceEvent {
+	if string(data) == "[DONE]" {
+		return sourceEvent{end: true}
+	}
+	var c engineChunk
+	if err := json.Unmarshal(data, &c); err != nil || len(c.Choices) == 0 {
+		return sourceEvent{err: fmt.Errorf("the engine sent a malformed event: %w", err)}
+	}
+	chunk := answer.Chunk{Attempt: s.attempt, Offset: c.Offset, Text: c.Choices[0].Delta.Content, Raw: bytes.Clone(data)}
+	if reason := c.Choices[0].FinishReason; reason != nil {
+		chunk.Finish = *reason
+	}
+	return sourceEvent{chunk: chunk, cached: c.CachedTokens}
+}
+
+func (s *source) send(e sourceEvent) bool {
+	select {
+	case s.events <- e:
+		return true
+	case <-s.done:
+		return false
+	}
+}
+
+// close ends the stream at this side; the engine holds it for a while.
+func (s *source) close() {
+	close(s.done)
+	_ = s.conn.Close()
+	if s.release != nil {
+		s.release()
+	}
+}
+
+func newEngineRequest(r *chatRequest, server *machine.Server, attempt, offset uint32) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI(serverURL(server, "/v1/chat/completions"))
+	req.Header.SetContentType("application/json")
+	req.Header.Set(headerRequestID, r.id)
+	req.Header.Set(headerAttempt, strconv.Itoa(int(attempt)))
+	req.Header.Set(headerPriority, r.contract.Priority.String())
+	if offset > 0 {
+		req.Header.Set(headerContinueOffset, strconv.Itoa(int(offset)))
+	}
+	req.SetBodyRaw(r.body)
+	return req
+}
+
+func newHeldRequest(id string, server *machine.Server, offset uint32) *fasthttp.Request {
+	req := fasthttp.AcquireRequest()
+	req.SetRequestURI(serverURL(server, "/v1/streams/"+id+"?offset="+strconv.Itoa(int(offset))))
+	return req
+}
+
+// cancelStream tells an engine that nobody waits for a stream any more.
+func (g *Gateway) cancelStream(server *machine.Server, id string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(fasthttp.MethodDelete)
+	req.SetRequestURI(serverURL(server, "/v1/streams/"+id))
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if err := g.upstream.do(ctx, req, resp, false); err != nil {
+		g.log.WithError(err).WithField("server", server.ID).Debug("cancelling a stream failed")
+		return
+	}
+	_ = resp.CloseBodyStream()
+}
+
+// timer is a stoppable timeout; a nil channel never fires.
+func newTimer(d time.Duration) (<-chan time.Time, func() bool) {
+	t := time.NewTimer(d)
+	return t.C, t.Stop
+}
