--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,11 @@
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known red: /' || true
 	go test -race $(SKIP) $(PLAIN)
 	go test -race $(SKIP) $(RAPID) -rapid.seed=$(SEED) -rapid.nofailfile
+
+.PHONY: up
+up: build
+	@bash scripts/up.sh
+
+.PHONY: down
+down:
+	@bash scripts/down.sh
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	heartbeats  atomic.Uint64
 
 	lanes    sync.Map
+	hedgers  sync.Map
 	activity activity
 	// stopping is closed when the grace period of a planned stop is over.
 	stopping chan struct{}
--- a/internal/gateway/journal.go
+++ b/internal/gateway/journal.go
@@ -5,40 +5,67 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"kumquatyard/internal/machine"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
 const (
-	// journalRequests is the number of recent requests that can be explained.
-	journalRequests = 4096
+	// journalShards keeps requests from waiting for each other's notes.
+	journalShards = 64
+	// shardRequests is the number of recent requests that a shard explains.
+	shardRequests = 64
 	// journalLines bounds the lines kept for one request.
 	journalLines = 16
 )
 
 // journal keeps why recent requests went where they went.
-type journal struct {
+type journal struct{ shards [journalShards]journalShard }
+
+type journalShard struct {
 	mu    sync.Mutex
-	lines map[string][]string
-	order [journalRequests]string
+	notes map[string][]note
+	order [shardRequests]string
 	next  int
 }
 
-func newJournal() *journal { return &journal{lines: make(map[string][]string, journalRequests)} }
+// note is one event of a request, formatted only when somebody asks.
+type note struct {
+	at     time.Time
+	format string
+	args   []any
+}
+
+func (n note) String() string {
+	return n.at.UTC().Format(time.RFC3339Nano) + " " + fmt.Sprintf(n.format, n.args...)
+}
+
+func newJournal() *journal {
+	j := &journal{}
+	for i := range j.shards {
+		j.shards[i].notes = make(map[string][]note)
+	}
+	return j
+}
+
+func (j *journal) shard(requestID string) *journalShard {
+	return &j.shards[xxhash.Sum64String(requestID)%journalShards]
+}
 
 // note records an event of a request.
 func (j *journal) note(requestID, format string, args ...any) {
-	line := time.Now().UTC().Format(time.RFC3339Nano) + " " + fmt.Sprintf(format, args...)
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	lines, ok := j.lines[requestID]
+	s := j.shard(requestID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	notes, ok := s.notes[requestID]
 	if !ok {
-		delete(j.lines, j.order[j.next])
-		j.order[j.next] = requestID
-		j.next = (j.next + 1) % journalRequests
+		delete(s.notes, s.order[s.next])
+		s.order[s.next] = requestID
+		s.next = (s.next + 1) % shardRequests
 	}
-	if len(lines) < journalLines {
-		j.lines[requestID] = append(lines, line)
+	if len(notes) < journalLines {
+		s.notes[requestID] = append(notes, note{at: time.Now(), format: format, args: args})
 	}
 }
 
@@ -48,7 +75,12 @@
 
 // explain returns what is kept of a request.
 func (j *journal) explain(requestID string) *pb.ExplainReply {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return &pb.ExplainReply{RequestId: requestID, Lines: append([]string(nil), j.lines[requestID]...)}
+	s := j.shard(requestID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := &pb.ExplainReply{RequestId: requestID}
+	for _, n := range s.notes[requestID] {
+		reply.Lines = append(reply.Lines, n.String())
+	}
+	return reply
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	claimSeconds         = metrics.NewHistogram("kumquat_gateway_claim_seconds")
 	attemptsTotal        = metrics.NewCounter("kumquat_gateway_attempts_total")
 	retriesTotal         = metrics.NewCounter("kumquat_gateway_retries_total")
+	hedgesTotal          = metrics.NewCounter("kumquat_gateway_hedges_total")
 	movesTotal           = metrics.NewCounter("kumquat_gateway_moves_total")
 	continuedTokensTotal = metrics.NewCounter("kumquat_gateway_continued_tokens_total")
 	staleProbesTotal     = metrics.NewCounter("kumquat_gateway_stale_probes_total")
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -102,24 +102,22 @@
 	var exclude []machine.ID
 	var last error
 	for {
-		choice, ok := g.keeper.load().view.Choose(&route.Request{
-			Pool: req.who.contract.Pool, Priority: req.who.contract.Priority, Exclude: exclude, Seed: seed(), Now: time.Now(),
-		})
+		choice, ok := g.choosePlain(req, exclude)
 		if !ok {
 			return plainAnswer{}, sending.noServer(req.who.contract.Pool)
 		}
 		if !sending.spend(choice.Server.ID) {
 			return plainAnswer{}, sending.refusal(last)
 		}
-		ans, err := g.trySend(ctx, req, choice.Server, sending.attempts)
-		if err == nil {
-			g.journal.routed(req.id, choice.Server.ID, choice.Reason, 0)
-			return ans, nil
+		out := g.sendTo(ctx, req, choice.Server, &sending, exclude)
+		if out.err == nil {
+			g.journal.routed(req.id, out.server.ID, choice.Reason, 0)
+			return out.answer, nil
 		}
-		g.journal.note(req.id, "%s failed: %v", choice.Server.ID, err)
-		last = err
+		g.journal.note(req.id, "%s failed: %v", out.server.ID, out.err)
+		last = out.err
 		exclude = append(exclude, choice.Server.ID)
-		delay, err := sending.failed(err, req.who.deadline)
+		delay, err := sending.failed(last, req.who.deadline)
 		if err != nil {
 			return plainAnswer{}, err
 		}
@@ -127,6 +125,21 @@
 	}
 }
 
+// sendTo sends the request to a server; only a read that is idempotent is hedged.
+func (g *Gateway) sendTo(ctx context.Context, req *plainRequest, server *route.Server, s *sending, exclude []machine.ID) sent {
+	if s.idempotent && req.method == fiber.MethodGet {
+		return g.sendHedged(ctx, req, server, s, exclude)
+	}
+	answer, err := g.trySend(ctx, req, server, s.attempts)
+	return sent{server: server, answer: answer, err: err}
+}
+
+func (g *Gateway) choosePlain(req *plainRequest, exclude []machine.ID) (route.Choice, bool) {
+	return g.keeper.load().view.Choose(&route.Request{
+		Pool: req.who.contract.Pool, Priority: req.who.contract.Priority, Exclude: exclude, Seed: seed(), Now: time.Now(),
+	})
+}
+
 // trySend sends the request to s once.
 func (g *Gateway) trySend(ctx context.Context, req *plainRequest, s *route.Server, attempt int) (plainAnswer, error) {
 	if err := g.confirm(ctx, s); err != nil {
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -141,3 +141,24 @@
 	}
 	return n
 }
+
+// TestHedgedLookups makes one server slow without saying so: lookups that meet
+// it are answered by another one, and bookings are never copied.
+func TestHedgedLookups(t *testing.T) {
+	y := newYard(t, 0, 2, 1, quickEngine)
+	h := y.gateways[0].hedger("app")
+	for range 1000 {
+		h.observe(time.Millisecond)
+	}
+	y.services[0].ChangeFaults(func(f *standin.Faults) { f.LatencyMS = 4000 })
+	for range 6 {
+		if resp := y.do("GET", y.urls[0]+"/lookups/1", nil, nil); resp.StatusCode != 200 {
+			t.Errorf("status = %d, want 200 before the deadline of 2 s", resp.StatusCode)
+		}
+	}
+	y.services[0].ChangeFaults(func(f *standin.Faults) { f.LatencyMS = 0 })
+	y.do("POST", y.urls[0]+"/bookings", map[string]string{headerIdempotencyKey: "k1"}, []byte("seat"))
+	if n := y.runs("k1"); n != 1 {
+		t.Errorf("the booking ran %d times", n)
+	}
+}
--- /dev/null
+++ b/scripts/down.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Ends exactly the processes that up.sh started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+
+for z in $ZONES; do stop "gateway-$z"; done
+for z in $ZONES; do stop "agent-$z"; done
+stop standin
--- /dev/null
+++ b/scripts/up.sh
@@ -0,0 +1,34 @@
+#!/usr/bin/env bash
+# Starts the demonstration: stand-ins and three entry instances in three zones.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/lib.sh
+
+if ls "$RUN"/*.pid >/dev/null 2>&1; then
+  echo "processes of an earlier make up are listed in $RUN/; run make down first" >&2
+  exit 1
+fi
+mkdir -p "$RUN"
+names=""
+for z in $ZONES; do names="$names gateway-$z agent-$z"; done
+bin/kumquatctl keys dev --dir "$RUN/keys" $names ctl
+start standin bin/kumquat-standin -c deploy/demo/settings/standin.yaml
+await http://127.0.0.1:9000/_counts
+bin/kumquatctl import deploy/demo/inventory.csv
+for document in zones rules/fleet rules/demo; do
+  bin/kumquatctl rules apply "$document" "deploy/demo/$document.yaml"
+done
+for z in $ZONES; do
+  start "agent-$z" bin/kumquat-agent -c "deploy/demo/settings/agent-$z.yaml"
+  start "gateway-$z" bin/kumquat-gateway -c "deploy/demo/settings/gateway-$z.yaml"
+done
+for port in 9411 9412 9413; do await "http://127.0.0.1:$port/readyz"; done
+cat <<'EOF'
+
+Ready: gateways at 127.0.0.1:8080, 8081 and 8082. Try:
+
+  curl -N http://127.0.0.1:8080/v1/chat/completions -H 'Authorization: Bearer demo-key' \
+    -d '{"model":"guide-small","stream":true,"messages":[{"role":"user","content":"Draft a welcome guide."}]}'
+
+make down ends it.
+EOF
