--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,181 @@
+package load
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatyard/internal/standin"
+)
+
+const (
+	dialTimeout = 5 * time.Second
+	maxConns    = 50_000
+	resumePath  = "/v1/streams/resume"
+	// resumePause is the time before a broken stream is resumed.
+	resumePause = 50 * time.Millisecond
+)
+
+// errRefused marks a failed connection attempt.
+var errRefused = errors.New("connection refused")
+
+// client sends requests to the gateways of a target, each at most once. The
+// library's own retries are off, so that a repeated run is the target's fault.
+type client struct {
+	gateways []*fasthttp.HostClient
+	patience time.Duration
+	resumes  int
+}
+
+func newClient(t *Target, s *Scenario) *client {
+	c := &client{patience: s.Patience, resumes: s.Resumes}
+	for _, address := range t.Gateways {
+		c.gateways = append(c.gateways, newHostClient(address))
+	}
+	return c
+}
+
+func newHostClient(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		Dial:                      dial,
+		MaxConns:                  maxConns,
+		StreamResponseBody:        true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader:  true,
+	}
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, errors.Join(errRefused, err)
+	}
+	return conn, nil
+}
+
+// refusalBody is the JSON of an error answer.
+type refusalBody struct {
+	Error struct {
+		Type         string `json:"type"`
+		Message      string `json:"message"`
+		Verdict      string `json:"verdict"`
+		RetryAfterMS int64  `json:"retry_after_ms"`
+	} `json:"error"`
+}
+
+// send carries a request out whose arrival was due at due.
+func (c *client) send(r *Request, due time.Time) *Outcome {
+	o := &Outcome{Request: r, Late: time.Since(due)}
+	deadline := due.Add(c.patience)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.fill(req, r)
+	if r.Class.Kind == Chat {
+		c.chat(req, o, due, deadline)
+	} else {
+		c.call(req, o, due, deadline)
+	}
+	o.Total = time.Since(due)
+	return o
+}
+
+func (c *client) fill(req *fasthttp.Request, r *Request) {
+	req.SetRequestURI("http://" + c.gateways[r.Number%len(c.gateways)].Addr + r.Path)
+	req.Header.SetMethod(r.Method)
+	req.Header.Set("Authorization", "Bearer "+r.Workspace.Key)
+	if r.Body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(r.Body)
+	}
+	if r.Key != "" {
+		req.Header.Set("Idempotency-Key", r.Key)
+	}
+	for name, value := range r.Class.Headers {
+		req.Header.Set(name, value)
+	}
+}
+
+// call carries a request to a plain service out.
+func (c *client) call(req *fasthttp.Request, o *Outcome, due, deadline time.Time) {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	body, err := c.exchange(c.gateways[o.Request.Number%len(c.gateways)], req, resp, deadline)
+	defer closeBody(resp)
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	o.FirstToken = time.Since(due)
+	answer, err := io.ReadAll(body)
+	switch {
+	case resp.StatusCode() != fasthttp.StatusOK:
+		o.refuse(resp, answer)
+	case err != nil:
+		o.fail(err)
+	default:
+		o.Status = resp.StatusCode()
+		o.checkCall(answer)
+	}
+}
+
+// checkCall compares a service's answer with the request it must belong to.
+func (o *Outcome) checkCall(answer []byte) {
+	var got standin.ServiceAnswer
+	err := json.Unmarshal(answer, &got)
+	if err != nil || got.Path != o.Request.Path || got.Echo != string(o.Request.Body) {
+		o.Result, o.Detail = Wrong, string(answer[:min(len(answer), 200)])
+		return
+	}
+	o.Result = OK
+}
+
+// exchange sends req and returns the body of the answer as it arrives.
+func (c *client) exchange(host *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (io.Reader, error) {
+	left := time.Until(deadline)
+	if left <= 0 {
+		return nil, fasthttp.ErrTimeout
+	}
+	req.SetTimeout(left)
+	if err := host.Do(req, resp); err != nil {
+		return nil, err
+	}
+	if stream := resp.BodyStream(); stream != nil {
+		return stream, nil
+	}
+	return strings.NewReader(string(resp.Body())), nil
+}
+
+func closeBody(resp *fasthttp.Response) {
+	if resp.BodyStream() != nil {
+		_ = resp.CloseBodyStream()
+	}
+}
+
+// fail records that no usable answer came.
+func (o *Outcome) fail(err error) {
+	o.Result, o.Detail = Lost, err.Error()
+	if errors.Is(err, errRefused) {
+		o.Result = Unsent
+	}
+}
+
+// refuse records an error answer.
+func (o *Outcome) refuse(resp *fasthttp.Response, body []byte) {
+	var refusal refusalBody
+	_ = json.Unmarshal(body, &refusal)
+	o.Result = Refused
+	o.Status = resp.StatusCode()
+	o.Verdict = string(resp.Header.Peek("Kumquat-Verdict"))
+	if o.Verdict == "" {
+		o.Verdict = refusal.Error.Verdict
+	}
+	o.ErrorType = refusal.Error.Type
+	o.Detail = refusal.Error.Message
+}
--- /dev/null
+++ b/internal/load/control.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"kumquatyard/internal/standin"
+)
+
+const controlTimeout = 10 * time.Second
+
+// control reads and changes the stand-ins behind a target.
+type control struct {
+	address string
+	client  fasthttp.Client
+}
+
+func newControl(address string) *control { return &control{address: address} }
+
+// truth is what the stand-ins of a target know of a run.
+type truth struct {
+	Services standin.Runs
+	Engines  standin.Runs
+	Tokens   standin.EngineCounts
+	KV       standin.KVCounts
+}
+
+func (c *control) get(path string, out any) (status int, err error) {
+	return c.do(fasthttp.MethodGet, path, nil, out)
+}
+
+func (c *control) do(method, path string, in, out any) (status int, err error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + c.address + path)
+	req.Header.SetMethod(method)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		req.SetBodyRaw(body)
+	}
+	if err := c.client.DoTimeout(req, resp, controlTimeout); err != nil {
+		return 0, fmt.Errorf("control %s: %w", path, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK || out == nil {
+		return resp.StatusCode(), nil
+	}
+	return resp.StatusCode(), json.Unmarshal(resp.Body(), out)
+}
+
+// ids returns the stand-ins' ids and kinds.
+func (c *control) ids() (map[string]string, error) {
+	var kinds map[string]string
+	_, err := c.get("/", &kinds)
+	return kinds, err
+}
+
+// read returns what all stand-ins know.
+func (c *control) read() (truth, error) {
+	t := truth{
+		Services: standin.Runs{ByRequest: make(map[string]int), ByKey: make(map[string]int)},
+		Engines:  standin.Runs{ByRequest: make(map[string]int)},
+	}
+	kinds, err := c.ids()
+	if err != nil {
+		return t, err
+	}
+	for id, kind := range kinds {
+		if err := c.add(&t, id, kind); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+func (c *control) add(t *truth, id, kind string) error {
+	switch kind {
+	case standin.KindService:
+		var runs standin.Runs
+		_, err := c.get("/"+id+"/_runs", &runs)
+		addRuns(t.Services.ByKey, runs.ByKey)
+		addRuns(t.Services.ByRequest, runs.ByRequest)
+		return err
+	case standin.KindEngine:
+		var counts standin.EngineCounts
+		_, err := c.get("/"+id+"/_counts", &counts)
+		t.addTokens(counts)
+		addRuns(t.Engines.ByRequest, counts.Runs)
+		return err
+	case standin.KindKV:
+		var counts standin.KVCounts
+		_, err := c.get("/"+id+"/_counts", &counts)
+		t.KV.Reads += counts.Reads
+		t.KV.Writes += counts.Writes
+		t.KV.Waiting += counts.Waiting
+		return err
+	default:
+		return nil
+	}
+}
+
+func addRuns(to, from map[string]int) {
+	for id, n := range from {
+		to[id] += n
+	}
+}
+
+// since returns the tokens and calls between two readings.
+func (t truth) since(before truth) truth {
+	t.Tokens.TokensGenerated -= before.Tokens.TokensGenerated
+	t.Tokens.PromptTokensComputed -= before.Tokens.PromptTokensComputed
+	t.Tokens.PromptTokensReused -= before.Tokens.PromptTokensReused
+	t.Tokens.TokensRecomputed -= before.Tokens.TokensRecomputed
+	t.Tokens.PromptTokensRecomputed -= before.Tokens.PromptTokensRecomputed
+	t.KV.Reads -= before.KV.Reads
+	t.KV.Writes -= before.KV.Writes
+	t.Engines = standin.Runs{ByRequest: maps.Clone(t.Engines.ByRequest)}
+	for id, n := range before.Engines.ByRequest {
+		t.Engines.ByRequest[id] -= n
+	}
+	return t
+}
+
+// accumulate adds the tokens and calls of another round.
+func (t *truth) accumulate(other truth) {
+	t.addTokens(other.Tokens)
+	t.KV.Reads += other.KV.Reads
+	t.KV.Writes += other.KV.Writes
+	t.KV.Waiting = other.KV.Waiting
+}
+
+func (t *truth) addTokens(counts standin.EngineCounts) {
+	t.Tokens.TokensGenerated += counts.TokensGenerated
+	t.Tokens.PromptTokensComputed += counts.PromptTokensComputed
+	t.Tokens.PromptTokensReused += counts.PromptTokensReused
+	t.Tokens.TokensRecomputed += counts.TokensRecomputed
+	t.Tokens.PromptTokensRecomputed += counts.PromptTokensRecomputed
+}
+
+// apply makes the changes of an event.
+func (c *control) apply(e Event) error {
+	ids := map[string]string{e.Standin: ""}
+	if e.Standin == "*" {
+		var err error
+		if ids, err = c.ids(); err != nil {
+			return err
+		}
+	}
+	for id := range ids {
+		if err := c.applyTo(id, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *control) applyTo(id string, e Event) error {
+	if e.Faults != nil {
+		if err := c.post("/"+id+"/_faults", e.Faults); err != nil {
+			return err
+		}
+	}
+	if e.Reclaim != nil {
+		if err := c.post("/"+id+"/_reclaim", e.Reclaim); err != nil {
+			return err
+		}
+	}
+	if e.Restart {
+		return c.post("/"+id+"/_restart", nil)
+	}
+	return nil
+}
+
+func (c *control) post(path string, body any) error {
+	status, err := c.do(fasthttp.MethodPost, path, body, nil)
+	if err == nil && status != fasthttp.StatusOK {
+		return fmt.Errorf("control %s: status %d", path, status)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,194 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
+)
+
+// maxViolations bounds the violations that a report shows.
+const maxViolations = 20
+
+// WriteReport writes report.md and its plots into directory.
+func WriteReport(directory string, s Scenario, results []*TargetResult) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	file, err := os.Create(filepath.Join(directory, "report.md"))
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer file.Close()
+	if err := writePlots(directory, results); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	writeMarkdown(file, s, results)
+	return file.Close()
+}
+
+// writeMarkdown writes the tables of a report.
+func writeMarkdown(w io.Writer, s Scenario, results []*TargetResult) {
+	fmt.Fprintf(w, "# Load report\n\nMix %s, seed %d, %v a round, %d rounds, %.3g requests/s on average (bursts %.3g times the calm for %.3g of the time).\n",
+		s.mixName(), s.Seed, s.Duration, s.Rounds, s.Arrivals.Rate, s.Arrivals.BurstFactor, s.Arrivals.BurstShare)
+	for _, e := range s.Events {
+		fmt.Fprintf(w, "\nEvent at %v on %s: %s\n", e.At, e.Standin, e.describe())
+	}
+	section(w, "Latency by class", latencyTable(results, func(r *TargetResult) map[string]*Stats { return r.ByClass }))
+	fmt.Fprintf(w, "\nTimes run from the arrival time, also when a request was sent late.\n\n![time to first token](first_token.png)\n\n![time between tokens](between_tokens.png)\n")
+	section(w, "Latency by workspace", latencyTable(results, func(r *TargetResult) map[string]*Stats { return r.ByWorkspace }))
+	section(w, "Outcomes", outcomeTable(results))
+	section(w, "Refusals", refusalTable(results))
+	section(w, "Tokens and cost", tokenTable(results))
+	section(w, "Violations", violationTable(results))
+}
+
+func (s Scenario) mixName() string {
+	if s.Mix == "" {
+		return "custom"
+	}
+	return s.Mix
+}
+
+func (e Event) describe() string {
+	switch {
+	case e.Faults != nil:
+		return fmt.Sprintf("faults %+v", *e.Faults)
+	case e.Reclaim != nil:
+		return fmt.Sprintf("reclaim %+v", *e.Reclaim)
+	default:
+		return "restart"
+	}
+}
+
+func section(w io.Writer, title string, t table.Writer) {
+	fmt.Fprintf(w, "\n## %s\n\n%s\n", title, t.RenderMarkdown())
+}
+
+func newTable(header ...any) table.Writer {
+	t := table.NewWriter()
+	t.AppendHeader(header)
+	return t
+}
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func latencyTable(results []*TargetResult, group func(*TargetResult) map[string]*Stats) table.Writer {
+	t := newTable("", "target", "requests", "first p50", "p95", "p99", "between p50", "p95", "p99")
+	for _, name := range groupNames(results, group) {
+		for _, r := range results {
+			stats := group(r)[name]
+			if stats == nil {
+				continue
+			}
+			row := table.Row{name, r.Target.Name, stats.count()}
+			row = append(row, quantiles(stats.FirstToken)...)
+			row = append(row, quantiles(stats.Gaps)...)
+			t.AppendRow(row)
+		}
+	}
+	return t
+}
+
+func groupNames(results []*TargetResult, group func(*TargetResult) map[string]*Stats) []string {
+	names := make(map[string]bool)
+	for _, r := range results {
+		for name := range group(r) {
+			names[name] = true
+		}
+	}
+	return sorted(names)
+}
+
+func quantiles(h *hdrhistogram.Histogram) []any {
+	var cells []any
+	for _, percent := range []float64{50, 95, 99} {
+		if h.TotalCount() == 0 {
+			cells = append(cells, "")
+			continue
+		}
+		cells = append(cells, milliseconds(quantile(h, percent)))
+	}
+	return cells
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.2f ms", inMilliseconds(d))
+}
+
+func outcomeTable(results []*TargetResult) table.Writer {
+	t := newTable("target", "requests", "ok", "refused", "failed", "lost", "unsent", "wrong", "resumes", "goodput/s", "sent late p99")
+	for _, r := range results {
+		total := make(map[Result]int)
+		requests, resumes := 0, 0
+		for _, s := range r.ByClass {
+			requests += s.count()
+			resumes += s.Resumes
+			for result, n := range s.Results {
+				total[result] += n
+			}
+		}
+		t.AppendRow(table.Row{
+			r.Target.Name, requests, total[OK], total[Refused], total[Failed], total[Lost], total[Unsent], total[Wrong],
+			resumes, fmt.Sprintf("%.2f", r.goodput()), milliseconds(quantile(r.Late, 99)),
+		})
+	}
+	return t
+}
+
+func refusalTable(results []*TargetResult) table.Writer {
+	t := newTable("target", "class", "verdict and type", "number", "told within p50", "p95", "p99")
+	for _, r := range results {
+		for _, class := range sorted(r.ByClass) {
+			stats := r.ByClass[class]
+			for _, verdict := range sorted(stats.Verdicts) {
+				row := table.Row{r.Target.Name, class, verdict, stats.Verdicts[verdict]}
+				t.AppendRow(append(row, quantiles(stats.Refusal)...))
+			}
+		}
+	}
+	return t
+}
+
+func tokenTable(results []*TargetResult) table.Writer {
+	t := newTable("target", "generated", "prompt computed", "prompt reused", "needed at best", "computed again", "continued again", "cost", "KV writes", "KV reads")
+	for _, r := range results {
+		tokens := r.Truth.Tokens
+		t.AppendRow(table.Row{
+			r.Target.Name, tokens.TokensGenerated, tokens.PromptTokensComputed, tokens.PromptTokensReused, r.IdealPromptTokens,
+			r.Recomputed(), tokens.TokensRecomputed, fmt.Sprintf("%.4f", r.Cost), r.Truth.KV.Writes, r.Truth.KV.Reads,
+		})
+	}
+	return t
+}
+
+// Recomputed returns the prompt tokens that were computed although an engine
+// had computed them before, and the continued tokens that were.
+func (r *TargetResult) Recomputed() int {
+	return int(r.Truth.Tokens.PromptTokensComputed) - r.IdealPromptTokens + int(r.Truth.Tokens.TokensRecomputed)
+}
+
+func violationTable(results []*TargetResult) table.Writer {
+	t := newTable("target", "promise", "what was seen")
+	for _, r := range results {
+		for i, v := range r.Violations {
+			if i == maxViolations {
+				t.AppendRow(table.Row{r.Target.Name, "", fmt.Sprintf("and %d more", len(r.Violations)-i)})
+				break
+			}
+			t.AppendRow(table.Row{r.Target.Name, v.Promise, v.Detail})
+		}
+	}
+	return t
+}
+
+// Violated reports whether a promise was broken at any target.
+func Violated(results []*TargetResult) bool {
+	return slices.ContainsFunc(results, func(r *TargetResult) bool { return len(r.Violations) > 0 })
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -123,6 +123,18 @@
 	return e
 }
 
+func (e *Engine) inherit(from Standin) {
+	earlier, ok := from.(*Engine)
+	if !ok {
+		return
+	}
+	counts := earlier.Counts()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts = counts
+	e.runs = earlier.runs
+}
+
 // Reclaim announces that the engine is stopped after in.
 func (e *Engine) Reclaim(in time.Duration) { e.reclaim(in) }
 
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 
@@ -51,11 +50,17 @@
 }
 
 // start builds and serves a stand-in and returns its address.
-func (g *Group) start(s StandinSettings) (string, error) {
+func (g *Group) start(s StandinSettings) (string, error) { return g.startAfter(s, nil) }
+
+// startAfter starts a stand-in that takes the counts of an earlier one over.
+func (g *Group) startAfter(s StandinSettings, earlier Standin) (string, error) {
 	built, err := g.build(s)
 	if err != nil {
 		return "", fmt.Errorf("stand-in %s: %w", s.ID, err)
 	}
+	if h, ok := built.(heir); ok && earlier != nil {
+		h.inherit(earlier)
+	}
 	built.ChangeFaults(func(f *Faults) { *f = s.Faults })
 	l, err := net.Listen("tcp", s.Listen)
 	if err != nil {
@@ -152,7 +157,7 @@
 func (g *Group) handleControl(ctx *fasthttp.RequestCtx) {
 	id, rest, _ := strings.Cut(strings.TrimPrefix(string(ctx.Path()), "/"), "/")
 	if id == "" {
-		writeJSON(ctx, g.ids())
+		writeJSON(ctx, g.kinds())
 		return
 	}
 	m := g.member(id)
@@ -167,21 +172,24 @@
 	}
 }
 
-func (g *Group) ids() []string {
+// kinds maps the stand-ins' ids to their kinds.
+func (g *Group) kinds() map[string]string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	ids := make([]string, 0, len(g.members))
-	for id := range g.members {
-		ids = append(ids, id)
+	kinds := make(map[string]string, len(g.members))
+	for id, m := range g.members {
+		kinds[id] = m.settings.Kind
 	}
-	slices.Sort(ids)
-	return ids
+	return kinds
 }
 
+// heir is a stand-in whose counts survive a restart.
+type heir interface{ inherit(from Standin) }
+
 // handleRestart replaces a stand-in by a new one without its state.
 func (g *Group) handleRestart(ctx *fasthttp.RequestCtx, m *groupMember) {
 	m.standin.Close()
-	address, err := g.start(m.settings)
+	address, err := g.startAfter(m.settings, m.standin)
 	if err != nil {
 		fail(ctx, http.StatusInternalServerError, "%v", err)
 		return
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -41,6 +41,12 @@
 // Runs returns how often each request ran.
 func (s *Service) Runs() Runs { return s.runs.get() }
 
+func (s *Service) inherit(from Standin) {
+	if earlier, ok := from.(*Service); ok {
+		s.runs = earlier.runs
+	}
+}
+
 // Reclaim announces that the service is stopped after in.
 func (s *Service) Reclaim(in time.Duration) { s.reclaim(in) }
 
