--- /dev/null
+++ b/internal/route/baseline.go
@@ -0,0 +1,103 @@
+package route
+
+import "math/bits"
+
+// Choose returns the server for r, and false when none may take it.
+func (v *View) Choose(r *Request) (Choice, bool) {
+	g := v.groups[groupKey{pool: r.Pool, model: r.Model}]
+	if g == nil {
+		return Choice{}, false
+	}
+	for i := range g.tiers {
+		if choice, ok := v.chooseFrom(&g.tiers[i], r); ok {
+			return choice, true
+		}
+	}
+	return Choice{}, false
+}
+
+func (v *View) chooseFrom(t *tier, r *Request) (Choice, bool) {
+	if len(t.members) == 0 {
+		return Choice{}, false
+	}
+	switch v.policy {
+	case policyRoundRobin:
+		return chooseRoundRobin(t, r)
+	case policyLeastOutstanding:
+		return chooseLeastOutstanding(t, r)
+	case policyPrefixHash:
+		return choosePrefixHash(t, r)
+	default:
+		return v.chooseKumquat(t, r)
+	}
+}
+
+// excluded reports whether m was tried already.
+func (r *Request) excluded(m *member) bool {
+	for _, id := range r.Exclude {
+		if id == m.server.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseRoundRobin takes the servers in turn; the caller's Seed is the turn.
+func chooseRoundRobin(t *tier, r *Request) (Choice, bool) {
+	for i := range t.members {
+		m := &t.members[(r.Seed+uint64(i))%uint64(len(t.members))]
+		if !r.excluded(m) {
+			return Choice{Server: m.server, Reason: RoundRobin}, true
+		}
+	}
+	return Choice{}, false
+}
+
+// chooseLeastOutstanding takes the server with the fewest requests of this
+// gateway in flight, ties at random.
+func chooseLeastOutstanding(t *tier, r *Request) (Choice, bool) {
+	var best *member
+	var bestCount int
+	var bestTie uint64
+	for i := range t.members {
+		m := &t.members[i]
+		if r.excluded(m) {
+			continue
+		}
+		count := 0
+		if m.server.InFlight != nil {
+			count = m.server.InFlight.Requests()
+		}
+		tie := mix(m.hash, r.Seed)
+		if best == nil || count < bestCount || (count == bestCount && tie < bestTie) {
+			best, bestCount, bestTie = m, count, tie
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Server: best.server, Reason: LeastLoaded}, true
+}
+
+// prefixHashBlocks is the number of leading blocks that the plain prefix hash covers.
+const prefixHashBlocks = 4
+
+// choosePrefixHash takes the rendezvous home of the first blocks.
+func choosePrefixHash(t *tier, r *Request) (Choice, bool) {
+	key := r.Seed
+	if n := min(len(r.Prefix), prefixHashBlocks); n > 0 {
+		key = r.Prefix[n-1]
+	}
+	best, _ := t.rendezvous(r, key)
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Server: best.server, Reason: PrefixHome}, true
+}
+
+// mix hashes two words by the folded product of their exclusive or with an odd
+// constant, as wyhash does.
+func mix(a, b uint64) uint64 {
+	high, low := bits.Mul64(a^b, 0x9e3779b97f4a7c15)
+	return high ^ low
+}
