--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/jedib0t/go-pretty/v6/table"
 )
 
 // maxViolations bounds the violations that a report shows.
@@ -67,19 +66,13 @@
 	}
 }
 
-func section(w io.Writer, title string, t table.Writer) {
-	fmt.Fprintf(w, "\n## %s\n\n%s\n", title, t.RenderMarkdown())
-}
-
-func newTable(header ...any) table.Writer {
-	t := table.NewWriter()
-	t.AppendHeader(header)
-	return t
+func section(w io.Writer, title string, t *markdownTable) {
+	fmt.Fprintf(w, "\n## %s\n\n%s", title, t)
 }
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-func latencyTable(results []*TargetResult, group func(*TargetResult) map[string]*Stats) table.Writer {
+func latencyTable(results []*TargetResult, group func(*TargetResult) map[string]*Stats) *markdownTable {
 	t := newTable("", "target", "requests", "first p50", "p95", "p99", "between p50", "p95", "p99")
 	for _, name := range groupNames(results, group) {
 		for _, r := range results {
@@ -87,10 +80,10 @@
 			if stats == nil {
 				continue
 			}
-			row := table.Row{name, r.Target.Name, stats.count()}
+			row := []any{name, r.Target.Name, stats.count()}
 			row = append(row, quantiles(stats.FirstToken)...)
 			row = append(row, quantiles(stats.Gaps)...)
-			t.AppendRow(row)
+			t.add(row...)
 		}
 	}
 	return t
@@ -122,7 +115,7 @@
 	return fmt.Sprintf("%.2f ms", inMilliseconds(d))
 }
 
-func outcomeTable(results []*TargetResult) table.Writer {
+func outcomeTable(results []*TargetResult) *markdownTable {
 	t := newTable("target", "requests", "ok", "refused", "failed", "lost", "unsent", "wrong", "resumes", "goodput/s", "sent late p99")
 	for _, r := range results {
 		total := make(map[Result]int)
@@ -134,36 +127,36 @@
 				total[result] += n
 			}
 		}
-		t.AppendRow(table.Row{
+		t.add(
 			r.Target.Name, requests, total[OK], total[Refused], total[Failed], total[Lost], total[Unsent], total[Wrong],
 			resumes, fmt.Sprintf("%.2f", r.goodput()), milliseconds(quantile(r.Late, 99)),
-		})
+		)
 	}
 	return t
 }
 
-func refusalTable(results []*TargetResult) table.Writer {
+func refusalTable(results []*TargetResult) *markdownTable {
 	t := newTable("target", "class", "verdict and type", "number", "told within p50", "p95", "p99")
 	for _, r := range results {
 		for _, class := range sorted(r.ByClass) {
 			stats := r.ByClass[class]
 			for _, verdict := range sorted(stats.Verdicts) {
-				row := table.Row{r.Target.Name, class, verdict, stats.Verdicts[verdict]}
-				t.AppendRow(append(row, quantiles(stats.Refusal)...))
+				row := []any{r.Target.Name, class, verdict, stats.Verdicts[verdict]}
+				t.add(append(row, quantiles(stats.Refusal)...)...)
 			}
 		}
 	}
 	return t
 }
 
-func tokenTable(results []*TargetResult) table.Writer {
+func tokenTable(results []*TargetResult) *markdownTable {
 	t := newTable("target", "generated", "prompt computed", "prompt reused", "needed at best", "computed again", "continued again", "cost", "KV writes", "KV reads")
 	for _, r := range results {
 		tokens := r.Truth.Tokens
-		t.AppendRow(table.Row{
+		t.add(
 			r.Target.Name, tokens.TokensGenerated, tokens.PromptTokensComputed, tokens.PromptTokensReused, r.IdealPromptTokens,
 			r.Recomputed(), tokens.TokensRecomputed, fmt.Sprintf("%.4f", r.Cost), r.Truth.KV.Writes, r.Truth.KV.Reads,
-		})
+		)
 	}
 	return t
 }
@@ -174,15 +167,15 @@
 	return int(r.Truth.Tokens.PromptTokensComputed) - r.IdealPromptTokens + int(r.Truth.Tokens.TokensRecomputed)
 }
 
-func violationTable(results []*TargetResult) table.Writer {
+func violationTable(results []*TargetResult) *markdownTable {
 	t := newTable("target", "promise", "what was seen")
 	for _, r := range results {
 		for i, v := range r.Violations {
 			if i == maxViolations {
-				t.AppendRow(table.Row{r.Target.Name, "", fmt.Sprintf("and %d more", len(r.Violations)-i)})
+				t.add(r.Target.Name, "", fmt.Sprintf("and %d more", len(r.Violations)-i))
 				break
 			}
-			t.AppendRow(table.Row{r.Target.Name, v.Promise, v.Detail})
+			t.add(r.Target.Name, v.Promise, v.Detail)
 		}
 	}
 	return t
