Claim shards: ownership, batched commits, outcomes, retention

The owner of a shard commits batches of claims and settlements to the open segment and grants after the commit is known. A takeover raises the epoch in the head, seals the last segment and reads the window; no clock takes part.

Proof: TestOneRunAKey drives three owners of a shard through refused, lost and late calls, restarts, hand-overs, repeats and late settles.

--- /dev/null
+++ b/internal/claim/commit.go
@@ -0,0 +1,230 @@
+package claim
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// commit is a batch of records on its way into the open segment.
+type commit struct {
+	items []*item
+	value []byte
+	// writes is the count that the segment has once the commit is stored.
+	writes uint64
+	// doubt is set once the commit may have been stored without an answer.
+	doubt bool
+}
+
+func (s *Shard) chooseOwning(now time.Time) (Op, bool, time.Time) {
+	if (s.commit != nil || s.verify) && now.Before(s.retryAt) {
+		return Op{}, false, s.retryAt
+	}
+	switch {
+	case s.verify:
+		return Op{Kind: OpGet, Key: s.open.key}, true, time.Time{}
+	case s.commit != nil:
+		return s.commitOp(), true, time.Time{}
+	case len(s.queue) > 0:
+		return s.chooseCommit(now)
+	case s.leave:
+		s.nextHead = proto.CloneOf(s.head)
+		s.nextHead.Owner, s.nextHead.Address = "", ""
+		s.phase = releasing
+		return s.choose(now)
+	case len(s.garbage) > 0:
+		return s.garbage[0], true, time.Time{}
+	default:
+		return Op{}, false, time.Time{}
+	}
+}
+
+func (s *Shard) chooseCommit(now time.Time) (Op, bool, time.Time) {
+	if due := s.commitDue(now); now.Before(due) {
+		return Op{}, false, due
+	}
+	if s.rollDue(now) {
+		s.beginSegment(ref{epoch: s.head.GetEpoch(), number: s.opening.number + 1})
+		return s.choose(now)
+	}
+	s.limiter.AllowN(now, 1)
+	s.buildCommit(now)
+	return s.commitOp(), true, time.Time{}
+}
+
+// commitDue is when the queue may be committed: a settlement lingers for
+// company, and the pace of writes is kept.
+func (s *Shard) commitDue(now time.Time) time.Time {
+	due := now
+	if !s.leave && !s.claimsQueued() {
+		due = s.queue[0].at.Add(s.limits.Linger)
+	}
+	missing := 1 - s.limiter.TokensAt(now)
+	paced := now.Add(time.Duration(missing / s.limits.WritesPerSecond * float64(time.Second)))
+	if missing > 0 && paced.After(due) {
+		return paced
+	}
+	return due
+}
+
+// rollDue reports whether the next commit goes to a new segment: the open one
+// is large, or opening one makes room in a full window.
+func (s *Shard) rollDue(now time.Time) bool {
+	return len(s.open.value) >= s.limits.SegmentBytes || (s.full() && s.expired(now) > 0)
+}
+
+func (s *Shard) full() bool { return len(s.table.windows) >= s.limits.MaxSegments }
+
+// expired counts the segments that retention no longer holds.
+func (s *Shard) expired(now time.Time) int {
+	return s.table.expired(now.Add(-s.limits.Retention - clockMargin))
+}
+
+func (s *Shard) claimsQueued() bool {
+	for _, it := range s.queue {
+		if it.claim != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Shard) buildCommit(now time.Time) {
+	batch := &pb.ClaimSegment{Writes: s.open.writes + 1}
+	size, n := 0, 0
+	for n < len(s.queue) && (n == 0 || size < s.limits.BatchBytes) {
+		it := s.queue[n]
+		it.place = inCommit
+		n++
+		if it.record == nil {
+			continue
+		}
+		it.record.AtUnixMs = now.UnixMilli()
+		size += proto.Size(it.record)
+		batch.Records = append(batch.Records, it.record)
+	}
+	s.commit = &commit{items: s.queue[:n:n], writes: batch.Writes, value: appendSegment(s.open.value, batch)}
+	s.queue = s.queue[n:]
+}
+
+func (s *Shard) commitOp() Op {
+	return Op{Kind: OpSwap, Key: s.open.key, Value: s.commit.value, Index: s.open.index, Records: len(s.commit.items)}
+}
+
+func (s *Shard) doneOwning(now time.Time, r Result) {
+	switch s.call.Kind {
+	case OpDelete:
+		s.garbage = s.garbage[1:]
+	case OpGet:
+		s.doneVerify(now, r)
+	default:
+		s.doneCommit(now, r)
+	}
+}
+
+func (s *Shard) doneCommit(now time.Time, r Result) {
+	switch {
+	case r.Effect == Done && r.Swapped:
+		s.committed(now, r.Index)
+	case r.Effect == Done:
+		s.verify = true
+	case r.Effect == Unknown:
+		s.commit.doubt = true
+		s.retryAt = now.Add(s.limits.RetryDelay)
+	default:
+		s.commitFailed(now)
+	}
+}
+
+// commitFailed refuses the batch and the queue, unless an earlier try of the
+// same batch may still take effect: then only the queue is refused and the try
+// is repeated until it is decided.
+func (s *Shard) commitFailed(now time.Time) {
+	s.failing = true
+	s.retryAt = now.Add(s.limits.RetryDelay)
+	var failed []*item
+	if !s.commit.doubt {
+		failed = s.commit.items
+		s.commit = nil
+	}
+	failed = append(failed, s.queue...)
+	s.queue = nil
+	for _, it := range failed {
+		if it.claim != nil {
+			delete(s.busy, it.id)
+		}
+		s.refuse(it, s.unavailable())
+	}
+	for _, it := range failed {
+		s.wake(now, it.id)
+	}
+}
+
+// doneVerify learns from the segment itself whether the commit was stored.
+// Only this owner raises the segment's count of writes.
+func (s *Shard) doneVerify(now time.Time, r Result) {
+	if r.Effect != Done {
+		s.retryAt = now.Add(s.limits.RetryDelay)
+		return
+	}
+	s.verify = false
+	if len(r.Entries) == 0 || r.Entries[0].Index == 0 {
+		s.lose()
+		return
+	}
+	found, err := parseSegment(r.Entries[0].Value)
+	if err != nil {
+		s.lose()
+		return
+	}
+	if found.GetWrites() >= s.commit.writes {
+		s.committed(now, r.Entries[0].Index)
+	} else if r.Entries[0].Index == s.open.index {
+		return
+	}
+	if found.GetSealed() || s.commit != nil {
+		s.lose()
+	}
+}
+
+// lose ends the ownership after another owner sealed the open segment. A batch
+// that is not in the sealed segment never will be.
+func (s *Shard) lose() {
+	if s.commit != nil {
+		s.held = append(s.held, s.commit.items...)
+	}
+	s.dropOwnership("")
+}
+
+func (s *Shard) committed(now time.Time, index uint64) {
+	done := s.commit
+	s.commit = nil
+	s.open.index, s.open.value, s.open.writes = index, done.value, done.writes
+	s.table.last().index = index
+	for _, it := range done.items {
+		if it.record != nil {
+			s.table.apply(it.record)
+		}
+		if it.claim != nil {
+			delete(s.busy, it.id)
+			s.grant(now, it)
+		} else {
+			s.answer(it, Reply{})
+		}
+	}
+	for _, it := range done.items {
+		s.wake(now, it.id)
+	}
+}
+
+func (s *Shard) grant(now time.Time, it *item) {
+	if it.abandoned {
+		s.admitSettle(now, &item{id: it.id, settle: &pb.ClaimSettle{
+			Key: it.record.GetKey(), RunId: it.record.GetRunId(), Verdict: pb.Verdict_VERDICT_NOT_RUN,
+		}})
+		return
+	}
+	s.answer(it, Reply{Claim: &pb.ClaimReply{Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED, Holder: it.record.GetRequestId()}})
+}
--- /dev/null
+++ b/internal/claim/shard_test.go
@@ -0,0 +1,352 @@
+package claim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/testing/protocmp"
+	"pgregory.net/rapid"
+
+	"kumquatyard/internal/contract"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// kv is the key-value service as the property sees it.
+type kv struct {
+	index   uint64
+	entries map[string]Entry
+}
+
+func (k *kv) apply(op Op) Result {
+	current := k.entries[op.Key]
+	switch op.Kind {
+	case OpGet:
+		return Result{Entries: []Entry{current}}
+	case OpList:
+		var found []Entry
+		for key, e := range k.entries {
+			if strings.HasPrefix(key, op.Key) {
+				found = append(found, e)
+			}
+		}
+		return Result{Entries: found}
+	case OpDelete:
+		if current.Index == op.Index {
+			delete(k.entries, op.Key)
+		}
+		return Result{Swapped: current.Index == op.Index}
+	}
+	if current.Index != op.Index {
+		return Result{}
+	}
+	k.index++
+	k.entries[op.Key] = Entry{Key: op.Key, Value: op.Value, Index: k.index}
+	return Result{Swapped: true, Index: k.index}
+}
+
+type run struct {
+	id, key string
+	owner   int
+	ticket  uint64
+	granted bool
+	// gaveUp runs never start.
+	gaveUp  bool
+	settled pb.Verdict
+	// known is set once the settlement was acknowledged.
+	known  bool
+	answer *pb.StoredAnswer
+}
+
+// fleet drives several owners of one shard against one service whose calls
+// fail, lose their answers and take effect late, and checks each reply.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	kv      *kv
+	owners  []*Shard
+	calls   []*Op
+	late    []Op
+	runs    []*run
+	tickets map[uint64]any
+	next    uint64
+	// holder is the run that was granted each key and did not end as not run.
+	holder map[string]*run
+	grants int
+	// round numbers the keys in use.
+	round int
+}
+
+var testLimits = Limits{
+	Retention: 24 * time.Hour, MaxSegments: 64, SegmentBytes: 300, BatchBytes: 200, AnswerBytes: 64,
+	Queue: 8, WritesPerSecond: 1000, Burst: 10, Linger: time.Millisecond, RetryDelay: time.Millisecond,
+}
+
+func newFleet(t *rapid.T, owners int) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1_800_000_000, 0), kv: &kv{entries: map[string]Entry{}},
+		calls: make([]*Op, owners), tickets: map[uint64]any{}, holder: map[string]*run{},
+	}
+	for i := range owners {
+		f.owners = append(f.owners, NewShard(0, fmt.Sprintf("o%d/1", i), fmt.Sprintf("127.0.0.1:%d", i), testLimits))
+	}
+	return f
+}
+
+func (f *fleet) owner() int { return rapid.IntRange(0, len(f.owners)-1).Draw(f.t, "owner") }
+
+// drain checks the replies of an owner and starts its next call.
+func (f *fleet) drain(i int) {
+	for _, r := range f.owners[i].Replies() {
+		f.check(r)
+	}
+	if f.calls[i] == nil {
+		if op, ok, _ := f.owners[i].Next(f.now); ok {
+			f.calls[i] = &op
+		}
+	}
+	for _, r := range f.owners[i].Replies() {
+		f.check(r)
+	}
+}
+
+func (f *fleet) check(r Reply) {
+	asked, ok := f.tickets[r.Ticket]
+	if !ok {
+		f.t.Fatalf("ticket %d was answered twice or never asked", r.Ticket)
+	}
+	delete(f.tickets, r.Ticket)
+	switch asked := asked.(type) {
+	case *run:
+		f.checkClaim(asked, r)
+	case func(Reply):
+		asked(r)
+	}
+}
+
+func (f *fleet) checkClaim(claimed *run, r Reply) {
+	if r.Err != nil {
+		if contract.VerdictOf(r.Err) != contract.NotRun {
+			f.t.Fatalf("refusal of a claim says %v", r.Err)
+		}
+		return
+	}
+	holder := f.holder[claimed.key]
+	switch r.Claim.GetOutcome() {
+	case pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED:
+		f.grants++
+		if holder != nil {
+			f.t.Fatalf("key %s granted to %s while %s holds it (settled %v)", claimed.key, claimed.id, holder.id, holder.settled)
+		}
+		if claimed.gaveUp {
+			f.t.Fatalf("run %s granted after it gave up", claimed.id)
+		}
+		claimed.granted = true
+		f.holder[claimed.key] = claimed
+	case pb.ClaimOutcome_CLAIM_OUTCOME_RAN:
+		if holder == nil || holder.settled != pb.Verdict_VERDICT_RAN {
+			f.t.Fatalf("key %s said to have run: holder %+v", claimed.key, holder)
+		}
+		got, err := FindAnswer(f.kv.entries[r.AnswerKey].Value, []byte(Key("w", claimed.key)), r.AnswerRun)
+		if diff := cmp.Diff(holder.answer, got, protocmp.Transform()); diff != "" || err != nil {
+			f.t.Fatalf("repeat of %s: answer differs, err %v:\n%s", claimed.key, err, diff)
+		}
+	case pb.ClaimOutcome_CLAIM_OUTCOME_NOT_OWNER, pb.ClaimOutcome_CLAIM_OUTCOME_RUNNING, pb.ClaimOutcome_CLAIM_OUTCOME_MAY_HAVE_RUN:
+	default:
+		f.t.Fatalf("unexpected outcome %v", r.Claim.GetOutcome())
+	}
+}
+
+func (f *fleet) claim(t *rapid.T) {
+	i := f.owner()
+	f.next++
+	c := &run{
+		id: fmt.Sprintf("run%d", f.next), key: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key") + fmt.Sprint(f.round/4),
+		owner: i, ticket: f.next,
+	}
+	f.runs = append(f.runs, c)
+	f.tickets[f.next] = c
+	f.owners[i].Claim(f.now, f.next, &pb.ClaimRequest{
+		Key: Key("w", c.key), Fingerprint: Fingerprint("POST", "/"+c.key, nil), RunId: c.id, RequestId: c.id,
+		RunTimeoutMs: 50, WaitMs: uint32(rapid.IntRange(0, 1).Draw(t, "wait")),
+	})
+	f.drain(i)
+}
+
+// settle reports any granted run as ended, the first report deciding; repeats
+// and reports of runs long settled included, at any owner.
+func (f *fleet) settle(t *rapid.T) {
+	var granted []*run
+	for _, r := range f.runs {
+		if r.granted {
+			granted = append(granted, r)
+		}
+	}
+	if len(granted) == 0 {
+		t.Skip("no run")
+	}
+	recent := granted[max(0, len(granted)-4):]
+	r := rapid.SampledFrom(recent).Draw(t, "run")
+	if r.settled == pb.Verdict_VERDICT_UNSPECIFIED {
+		r.settled = rapid.SampledFrom([]pb.Verdict{pb.Verdict_VERDICT_NOT_RUN, pb.Verdict_VERDICT_RAN, pb.Verdict_VERDICT_MAY_HAVE_RUN}).Draw(t, "verdict")
+		r.answer = &pb.StoredAnswer{Status: 201, Body: []byte("answer of " + r.id)}
+	}
+	if r.settled == pb.Verdict_VERDICT_NOT_RUN && f.holder[r.key] == r {
+		delete(f.holder, r.key)
+	}
+	f.next++
+	f.tickets[f.next] = func(reply Reply) {
+		if reply.Err == nil && reply.Claim == nil {
+			r.known = true
+		}
+	}
+	i := f.owner()
+	f.owners[i].Settle(f.now, f.next, &pb.ClaimSettle{
+		Key: Key("w", r.key), RunId: r.id, Verdict: r.settled, Answer: proto.CloneOf(r.answer),
+	})
+	f.drain(i)
+}
+
+func (f *fleet) giveUp(t *rapid.T) {
+	if len(f.runs) == 0 {
+		t.Skip("no run")
+	}
+	r := rapid.SampledFrom(f.runs).Draw(t, "run")
+	if _, open := f.tickets[r.ticket]; !open {
+		t.Skip("answered")
+	}
+	f.owners[r.owner].GiveUp(f.now, r.ticket)
+	f.drain(r.owner)
+	if _, open := f.tickets[r.ticket]; open {
+		t.Fatalf("run %s is not answered when it gives up", r.id)
+	}
+	r.gaveUp = !r.granted
+}
+
+func (f *fleet) finishCall(t *rapid.T) {
+	i := f.owner()
+	op := f.calls[i]
+	if op == nil {
+		t.Skip("no call")
+	}
+	f.calls[i] = nil
+	var result Result
+	switch rapid.SampledFrom([]string{"done", "done", "done", "done", "refused", "answer lost", "late"}).Draw(t, "effect") {
+	case "done":
+		result = f.kv.apply(*op)
+	case "refused":
+		result = Result{Effect: Failed}
+	case "answer lost":
+		f.kv.apply(*op)
+		result = Result{Effect: Unknown}
+	case "late":
+		f.late = append(f.late, *op)
+		result = Result{Effect: Unknown}
+	}
+	f.owners[i].Done(f.now, result)
+	f.drain(i)
+}
+
+func (f *fleet) lateCall(t *rapid.T) {
+	if len(f.late) == 0 {
+		t.Skip("none")
+	}
+	n := rapid.IntRange(0, len(f.late)-1).Draw(t, "late")
+	f.kv.apply(f.late[n])
+	f.late = append(f.late[:n], f.late[n+1:]...)
+}
+
+func (f *fleet) restartOwner(t *rapid.T) {
+	i := f.owner()
+	if op := f.calls[i]; op != nil && rapid.Bool().Draw(t, "call in flight") {
+		f.late = append(f.late, *op)
+	}
+	for ticket, asked := range f.tickets {
+		if r, ok := asked.(*run); ok && r.owner == i {
+			delete(f.tickets, ticket)
+		}
+	}
+	f.calls[i] = nil
+	f.next++
+	f.owners[i] = NewShard(0, fmt.Sprintf("o%d/%d", i, f.next), "", testLimits)
+}
+
+// pump lets one owner work undisturbed.
+func (f *fleet) pump(t *rapid.T) {
+	f.pumpOwner(f.owner(), rapid.IntRange(1, 12).Draw(t, "calls"))
+}
+
+func (f *fleet) pumpOwner(i, calls int) {
+	for range calls {
+		f.now = f.now.Add(2 * time.Millisecond)
+		f.drain(i)
+		if op := f.calls[i]; op != nil {
+			f.calls[i] = nil
+			f.owners[i].Done(f.now, f.kv.apply(*op))
+		}
+	}
+	f.drain(i)
+}
+
+func (f *fleet) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"claim": f.claim, "claim2": f.claim, "settle": f.settle, "giveUp": f.giveUp,
+		"finishCall": f.finishCall, "finishCall2": f.finishCall, "lateCall": f.lateCall,
+		"restart": f.restartOwner, "pump": f.pump, "pump2": f.pump,
+		"acquire": func(*rapid.T) { i := f.owner(); f.owners[i].Acquire(f.now); f.drain(i) },
+		"release": func(*rapid.T) { i := f.owner(); f.owners[i].Release(); f.drain(i) },
+		"wait":    func(*rapid.T) { f.now = f.now.Add(5 * time.Millisecond); f.drain(f.owner()) },
+	}
+}
+
+// settleDown checks, with the service healthy again, that the key's memory is
+// what the replies promised.
+func (f *fleet) settleDown() {
+	last := NewShard(0, "last/1", "", testLimits)
+	f.owners = append(f.owners, last)
+	f.calls = append(f.calls, nil)
+	last.Acquire(f.now)
+	for !last.Owning() {
+		op, ok, wake := last.Next(f.now)
+		if ok {
+			last.Done(f.now, f.kv.apply(op))
+			continue
+		}
+		f.now = wake
+	}
+	for key, holder := range f.holder {
+		outcome := pb.ClaimOutcome_CLAIM_OUTCOME_UNSPECIFIED
+		c := &run{id: "check" + key, key: key, owner: len(f.owners) - 1}
+		f.next++
+		f.tickets[f.next] = func(r Reply) { outcome = r.Claim.GetOutcome(); f.checkClaim(c, r) }
+		last.Claim(f.now, f.next, &pb.ClaimRequest{Key: Key("w", key), Fingerprint: Fingerprint("POST", "/"+key, nil), RunId: c.id})
+		f.drain(len(f.owners) - 1)
+		if holder.known && holder.settled == pb.Verdict_VERDICT_RAN && outcome != pb.ClaimOutcome_CLAIM_OUTCOME_RAN {
+			f.t.Fatalf("the outcome of %s was acknowledged, yet a repeat hears %v", holder.id, outcome)
+		}
+	}
+}
+
+const rounds = 20 // of 30 actions each
+
+func TestOneRunAKey(t *testing.T) {
+	grants := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 3)
+		for f.round = range rounds {
+			i := f.owner()
+			f.owners[i].Acquire(f.now)
+			f.pumpOwner(i, 8)
+			t.Repeat(f.actions())
+		}
+		f.settleDown()
+		grants += f.grants
+	})
+	t.Logf("%d grants", grants)
+	if grants == 0 {
+		t.Error("the property never saw a grant")
+	}
+}
