--- a/internal/route/baseline.go
+++ b/internal/route/baseline.go
@@ -80,7 +80,7 @@
 }
 
 // prefixHashBlocks is the number of leading blocks that the plain prefix hash covers.
-const prefixHashBlocks = 4
+const prefixHashBlocks = 16
 
 // choosePrefixHash takes the rendezvous home of the first blocks.
 func choosePrefixHash(t *tier, r *Request) (Choice, bool) {
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -16,6 +16,9 @@
 	// maxCandidates bounds the servers whose cost is computed.
 	maxCandidates = levels*homes + samples
 
+	// recomputeWeight is the weight of prompt processing against waiting: what
+	// is computed also delays others and evicts what they would reuse.
+	recomputeWeight = 3
 	// coldSeconds is the cost of a model that has to be loaded first.
 	coldSeconds = 10
 	// suspectShare is the part of a suspect cache that is counted on.
@@ -195,7 +198,7 @@
 	if c.home {
 		credit = max(credit, homeShare*float64(r.PromptTokens))
 	}
-	cost := m.wait() + m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
+	cost := m.wait() + recomputeWeight*m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
 	if m.cold {
 		cost += coldSeconds
 	}
--- /dev/null
+++ b/test/policy/cases.go
@@ -0,0 +1,36 @@
+package policy
+
+import "time"
+
+// Policies are the policies that are compared.
+var Policies = []string{"kumquat", "least_outstanding", "prefix_hash", "round_robin"}
+
+// Case is a named scenario without mix and policy.
+type Case struct {
+	Name string
+	Scenario
+}
+
+// Cases returns the scenarios in which the policies are compared.
+func Cases(seed uint64, duration time.Duration) []Case {
+	base := Scenario{
+		Duration: duration, WarmUp: duration / 3, CoolDown: duration / 6, Seed: seed,
+		ReportLag: time.Second, EventLag: time.Second, Load: 0.5,
+	}
+	busy, double, lagging, gaps, lost, slow := base, base, base, base, base, base
+	busy.Load = 0.8
+	double.Load = 2
+	lagging.ReportLag, lagging.EventLag = 4*time.Second, 4*time.Second
+	gaps.GapShare, gaps.EventLag = 0.05, 5*time.Second
+	lost.LoseZoneAt, lost.Notice = duration/2, 20*time.Second
+	slow.SlowAt, slow.SlowFactor = duration/3, 8
+	return []Case{
+		{"half load", base},
+		{"0.8 load", busy},
+		{"twice saturation", double},
+		{"reports 4 s late", lagging},
+		{"5 % of events lost, 5 s late", gaps},
+		{"zone lost", lost},
+		{"slow server", slow},
+	}
+}
--- /dev/null
+++ b/test/policy/mix.go
@@ -0,0 +1,179 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/prefix"
+)
+
+// Mix is a deployment's traffic: conversations whose prompts grow by turn.
+type Mix struct {
+	Name    string
+	Servers int
+	Slots   int
+	// CacheBlocks is the size of a server's prefix cache.
+	CacheBlocks int
+	Kinds       []Kind
+	// Workspaces are the shares of the traffic.
+	Workspaces []float64
+}
+
+// Kind is a kind of conversation.
+type Kind struct {
+	Name string
+	// Share of the conversations.
+	Share    float64
+	Priority contract.Priority
+	// Shared blocks open every prompt of a workspace; Topic blocks are those of
+	// one of Topics documents; Own blocks are new with each conversation.
+	Shared, Topic, Topics, Own int
+	// Turns is the largest number of turns, each of which adds Growth blocks.
+	Turns, Growth int
+	// Pause is the mean time between turns.
+	Pause        time.Duration
+	OutputTokens int
+	// Deadline bounds the time to the first token.
+	Deadline time.Duration
+}
+
+// Lanternfold drafts long guides from house notes and answers short questions.
+func Lanternfold() Mix {
+	return Mix{
+		Name: "lanternfold", Servers: 10, Slots: 16, CacheBlocks: 2000,
+		Workspaces: []float64{0.5, 0.25, 0.15, 0.07, 0.03},
+		Kinds: []Kind{
+			{
+				Name: "guide", Share: 0.3, Priority: contract.Deferrable, Shared: 8, Topic: 48, Topics: 200, Own: 6,
+				Turns: 4, Growth: 12, Pause: 20 * time.Second, OutputTokens: 700, Deadline: time.Minute,
+			},
+			{
+				Name: "question", Share: 0.7, Priority: contract.Interactive, Shared: 8, Topic: 8, Topics: 200, Own: 1,
+				Turns: 4, Growth: 2, Pause: 8 * time.Second, OutputTokens: 100, Deadline: 4 * time.Second,
+			},
+		},
+	}
+}
+
+// Matrizeria revises long drawings with their correction histories and answers
+// quick questions at the press.
+func Matrizeria() Mix {
+	return Mix{
+		Name: "matrizeria", Servers: 20, Slots: 16, CacheBlocks: 2000,
+		Workspaces: []float64{0.45, 0.3, 0.15, 0.07, 0.03},
+		Kinds: []Kind{
+			{
+				Name: "drawing", Share: 0.35, Priority: contract.Deferrable, Shared: 6, Topic: 0, Topics: 1, Own: 96,
+				Turns: 8, Growth: 16, Pause: 15 * time.Second, OutputTokens: 600, Deadline: time.Minute,
+			},
+			{
+				Name: "press", Share: 0.65, Priority: contract.Interactive, Shared: 6, Topic: 16, Topics: 400, Own: 1,
+				Turns: 2, Growth: 2, Pause: 6 * time.Second, OutputTokens: 80, Deadline: 4 * time.Second,
+			},
+		},
+	}
+}
+
+// conversation is one run of a kind.
+type conversation struct {
+	kind      *Kind
+	workspace int
+	chain     []uint64
+	turns     int
+	id        uint64
+	random    *rand.Rand
+}
+
+// zipf exponent and offset of the popularity of topics.
+const (
+	zipfS = 1.1
+	zipfV = 4
+)
+
+// newConversation draws everything about a conversation from a stream of its
+// own, so that each policy sees the same conversations.
+func (m *Model) newConversation() *conversation {
+	m.conversations++
+	c := &conversation{id: m.conversations, random: rand.New(rand.NewPCG(m.Seed, m.conversations))}
+	c.kind = m.mix.pickKind(c.random.Float64())
+	c.workspace = m.mix.pickWorkspace(c.random.Float64())
+	c.turns = 1 + c.random.IntN(c.kind.Turns)
+	topic := rand.NewZipf(c.random, zipfS, zipfV, uint64(c.kind.Topics-1)).Uint64()
+	c.extend(c.kind.Shared, uint64(c.workspace))
+	c.extend(c.kind.Topic, uint64(c.workspace)<<32|topic<<1|1)
+	c.extend(c.kind.Own, c.id<<20)
+	return c
+}
+
+// extend appends n blocks whose hashes follow from the chain and the content.
+func (c *conversation) extend(n int, content uint64) {
+	previous := content
+	if len(c.chain) > 0 {
+		previous = c.chain[len(c.chain)-1]
+	}
+	for range n {
+		previous = scramble(previous ^ scramble(content))
+		c.chain = append(c.chain, previous)
+	}
+}
+
+// scramble is the finalizer of SplitMix64.
+func scramble(z uint64) uint64 {
+	z += 0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (x *Mix) pickKind(draw float64) *Kind {
+	for i := range x.Kinds {
+		draw -= x.Kinds[i].Share
+		if draw < 0 {
+			return &x.Kinds[i]
+		}
+	}
+	return &x.Kinds[0]
+}
+
+func (x *Mix) pickWorkspace(draw float64) int {
+	for i, share := range x.Workspaces {
+		draw -= share
+		if draw < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// promptTokens of a chain, with a partial last block.
+func promptTokens(chain []uint64) int {
+	return len(chain)*prefix.BlockTokens + prefix.BlockTokens/2
+}
+
+// saturation estimates the requests a second at which the servers are busy,
+// with half of the prompts cached.
+func (x *Mix) saturation() float64 {
+	var share, slotSeconds, prefillSeconds float64
+	step := (tokenTime + batchTime).Seconds()
+	for _, k := range x.Kinds {
+		turns := float64(k.Turns+1) / 2
+		blocks := float64(k.Shared+k.Topic+k.Own) + float64(k.Growth)*(turns-1)/2
+		prefill := blocks * prefix.BlockTokens / 2 / prefillRate
+		share += k.Share * turns
+		prefillSeconds += k.Share * turns * prefill
+		slotSeconds += k.Share * turns * (float64(k.OutputTokens)*step + prefill)
+	}
+	bySlots := float64(x.Servers*x.Slots) / (slotSeconds / share)
+	byPrefill := float64(x.Servers) / (prefillSeconds / share)
+	return min(bySlots, byPrefill)
+}
+
+// meanTurns is the mean number of requests of a conversation.
+func (x *Mix) meanTurns() float64 {
+	sum := 0.0
+	for _, k := range x.Kinds {
+		sum += k.Share * float64(k.Turns+1) / 2
+	}
+	return sum
+}
