kumquat-load: overhead measurement, resumption, tests of the checks

Prompts of targets and rounds differ in their first line: in a run of the same scenario twice against one engine the second found the first one's blocks (3,636 prompt tokens computed in place of 115,892).

--- a/cmd/kumquat-load/main.go
+++ b/cmd/kumquat-load/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -21,7 +20,7 @@
 )
 
 func main() {
-	var s load.Scenario
+	var s load.Settings
 	report := "report"
 	violated := false
 	flaggy.String(&report, "r", "report", "directory of the report")
@@ -36,19 +35,27 @@
 	os.Exit(code)
 }
 
-func run(ctx context.Context, s load.Scenario, report string) (violated bool, err error) {
-	s, err = s.WithDefaults()
-	if err != nil {
-		return false, err
-	}
+func run(ctx context.Context, s load.Settings, report string) (violated bool, err error) {
 	log := telemetry.NewLogger(name, "load", s.Telemetry.LogLevel)
-	results, err := load.NewRunner(s, log).Run(ctx)
+	if s.Overhead != nil {
+		result, err := load.MeasureOverhead(ctx, *s.Overhead, log)
+		if err != nil {
+			return false, err
+		}
+		if err := load.WriteOverhead(report, *s.Overhead, result); err != nil {
+			return false, err
+		}
+	}
+	if s.Scenario == nil {
+		return false, nil
+	}
+	scenario, err := s.Scenario.WithDefaults()
 	if err != nil {
 		return false, err
 	}
-	if err := load.WriteReport(report, s, results); err != nil {
+	results, err := load.NewRunner(scenario, log).Run(ctx)
+	if err != nil {
 		return false, err
 	}
-	fmt.Println(report + "/report.md")
-	return load.Violated(results), nil
+	return load.Violated(results), load.WriteReport(report, scenario, results)
 }
--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -21,11 +21,16 @@
 	due     time.Time
 	last    time.Time
 	lastID  string
-	text    strings.Builder
+	// repeat is true when the request itself has to be sent again.
+	repeat bool
+	text   strings.Builder
 }
 
-// errAnswered ends a stream whose outcome is settled.
-var errAnswered = errors.New("answered")
+var (
+	// errAnswered ends a stream whose outcome is settled.
+	errAnswered = errors.New("answered")
+	errNotHeld  = errors.New("no engine holds the stream any more")
+)
 
 // chat carries a request to a model out, resuming the stream when it breaks.
 func (c *client) chat(req *fasthttp.Request, o *Outcome, due, deadline time.Time) {
@@ -50,13 +55,20 @@
 	}
 }
 
-// fillResume turns req into the resumption of a stream at another gateway.
+// fillResume turns req into the resumption of a stream at another gateway. When
+// no engine holds the stream any more, the request is repeated with the place.
 func (c *client) fillResume(req *fasthttp.Request, a *answerStream, gateway int) {
+	place := a.lastID
 	req.Reset()
-	req.SetRequestURI("http://" + c.gateways[gateway%len(c.gateways)].Addr + resumePath)
-	req.Header.SetMethod(fasthttp.MethodGet)
-	req.Header.Set("Authorization", "Bearer "+a.outcome.Request.Workspace.Key)
-	req.Header.Set("Last-Event-ID", a.lastID)
+	if a.repeat {
+		c.fill(req, a.outcome.Request)
+		req.URI().SetHost(c.gateways[gateway%len(c.gateways)].Addr)
+	} else {
+		req.SetRequestURI("http://" + c.gateways[gateway%len(c.gateways)].Addr + resumePath)
+		req.Header.SetMethod(fasthttp.MethodGet)
+		req.Header.Set("Authorization", "Bearer "+a.outcome.Request.Workspace.Key)
+	}
+	req.Header.Set("Last-Event-ID", place)
 }
 
 // stream reads one connection's part of an answer. It returns errAnswered when
@@ -73,6 +85,10 @@
 		a.outcome.RequestID = string(id)
 	}
 	a.outcome.Status = resp.StatusCode()
+	if resp.StatusCode() == fasthttp.StatusNotFound && a.lastID != "" && !a.repeat {
+		a.repeat = true
+		return errNotHeld
+	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		answer, _ := io.ReadAll(body)
 		a.outcome.refuse(resp, answer)
--- a/internal/load/generate.go
+++ b/internal/load/generate.go
@@ -12,7 +12,8 @@
 	"kumquatyard/internal/standin"
 )
 
-// Request is one request of a run, the same for every target but for its key.
+// Request is one request of a run, the same for every target but for its key
+// and the first line of its prompt.
 type Request struct {
 	// Number counts the requests of a run from 0.
 	Number    int
@@ -35,7 +36,8 @@
 type generator struct {
 	scenario *Scenario
 	rng      *rand.Rand
-	// run distinguishes the keys of targets and rounds.
+	// run distinguishes the keys and prompts of targets and rounds, so that no
+	// target profits from what another left in the caches.
 	run      string
 	times    []time.Duration
 	next     int
@@ -151,7 +153,7 @@
 	}
 	g.opened++
 	s = &session{messages: []standin.Message{
-		{Role: "system", Content: "You assist " + r.Workspace.Name + " with each " + r.Class.Name + "."},
+		{Role: "system", Content: fmt.Sprintf("Run %s: assist %s with each %s.", g.run, r.Workspace.Name, r.Class.Name)},
 		{Role: "user", Content: fmt.Sprintf("Document %d. %s", g.opened, g.text(r.Class.Document))},
 	}}
 	g.sessions[slot] = s
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -11,7 +11,15 @@
 	"kumquatyard/internal/telemetry"
 )
 
-// Scenario is a run of kumquat-load.
+// Settings are the settings of kumquat-load. Both measurements may be asked
+// for; overhead comes first.
+type Settings struct {
+	Scenario  *Scenario          `yaml:"scenario" validate:"required_without=Overhead"`
+	Overhead  *Overhead          `yaml:"overhead"`
+	Telemetry telemetry.Settings `yaml:"telemetry"`
+}
+
+// Scenario is a run of a mix against one or more targets.
 type Scenario struct {
 	// Seed determines arrivals, prompts and keys.
 	Seed uint64 `yaml:"seed"`
