agent: control process beside each gateway; duty: leases with fencing

Ruled out: pushing states through the key-value service; digests from both observers of a server (twice the bytes; the second reports loads only when the first one's are older than 4 s, lifecycles at once); each agent reading the fleet's instance list (0.4 MB an answer at 3,810 entries of about 110 bytes), so reads rotate through the scope. Change: heartbeats, digests, summaries, polls, views, list and notices, drain and status; duties by session, fencing number and a wait for the longest order; cmd/kumquat-agent with the configuration keeper. A small region is one scope, a large one is shared by zone. Proof: duty tests are red with Lease.Check off (order 1 came after fence 2; last order 1m0s after the outage) and with the wait off (acted 500 ms after). The agent's own failure tests come next; it is not proved yet.

--- /dev/null
+++ b/cmd/kumquat-agent/main.go
@@ -0,0 +1,99 @@
+// Command kumquat-agent is the control process of one entry instance.
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
+
+	"kumquatyard/internal/agent"
+	"kumquatyard/internal/configstore"
+	"kumquatyard/internal/link"
+	"kumquatyard/internal/platform"
+	"kumquatyard/internal/process"
+	"kumquatyard/internal/telemetry"
+)
+
+const (
+	name            = "kumquat-agent"
+	platformTimeout = 2 * time.Second
+	healthEvery     = 250 * time.Millisecond
+)
+
+func main() {
+	s := agent.DefaultSettings()
+	os.Exit(process.Main(name, "configuration, membership and observing servers", &s, func(ctx context.Context) error {
+		return run(ctx, s)
+	}))
+}
+
+func run(ctx context.Context, s agent.Settings) error {
+	log := telemetry.NewLogger(name, s.ID, s.Telemetry.LogLevel)
+	stopTracing, err := telemetry.StartTracing(ctx, name, s.ID, s.Telemetry)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stopTracing(context.WithoutCancel(ctx)) }()
+	calls, err := link.NewPool(s.Link, log)
+	if err != nil {
+		return err
+	}
+	defer calls.Close()
+	var a *agent.Agent
+	keeper := configstore.NewKeeper(configstore.Options{
+		KV: platform.NewKVClient(s.KV, platformTimeout), Caller: calls, Log: log,
+		Peers: func() []string { return a.PeerAddresses() },
+	})
+	options := agent.Options{
+		Settings: s, Caller: calls, Config: keeper, Components: []agent.Component{keeper}, Log: log,
+		List: platform.NewInstanceList(s.InstanceList, platformTimeout), Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	if s.Cloud != "" {
+		options.Notices = platform.NewCloud(s.Cloud, platformTimeout)
+	}
+	a = agent.New(options)
+	return serve(ctx, s, a, keeper, log)
+}
+
+// serve runs the agent and what peers and operators reach of it. The servers
+// outlive the agent, which answers peers until it has left; a server that
+// fails stops the agent.
+func serve(ctx context.Context, s agent.Settings, a *agent.Agent, keeper *configstore.Keeper, log *logrus.Entry) error {
+	running, stopAgent := context.WithCancel(ctx)
+	defer stopAgent()
+	background, stopServers := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServers()
+	var health telemetry.Health
+	servers := pool.New().WithContext(background).WithCancelOnError().WithFirstError()
+	for _, server := range []func(context.Context) error{
+		func(ctx context.Context) error { return telemetry.Serve(ctx, s.Telemetry.Listen, &health, nil) },
+		func(ctx context.Context) error { return link.Serve(ctx, s.Link, a, log) },
+		func(ctx context.Context) error { return watchHealth(ctx, &health, keeper) },
+	} {
+		servers.Go(func(ctx context.Context) error {
+			defer stopAgent()
+			return server(ctx)
+		})
+	}
+	err := a.Run(running)
+	stopServers()
+	return errors.Join(err, servers.Wait())
+}
+
+// watchHealth reports the process as ready while it holds a configuration.
+func watchHealth(ctx context.Context, health *telemetry.Health, keeper *configstore.Keeper) error {
+	ticker := time.NewTicker(healthEvery)
+	defer ticker.Stop()
+	for {
+		health.SetReady(keeper.Ready())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,58 @@
+// Package agent is the control process beside each gateway: it keeps
+// membership, observes its share of the backend servers, spreads what it knows
+// inside its scope and pushes a view to its gateway. Nothing it does is on the
+// path of a request.
+package agent
+
+import (
+	"time"
+
+	"kumquatyard/internal/link"
+	"kumquatyard/internal/telemetry"
+)
+
+// Settings are the keys of kumquat-agent's settings file.
+type Settings struct {
+	ID     string        `yaml:"id" validate:"required"`
+	Zone   string        `yaml:"zone" validate:"required"`
+	Region string        `yaml:"region" validate:"required"`
+	Link   link.Settings `yaml:"link" validate:"required"`
+	// Gateway is the link address of the gateway on this entry instance.
+	Gateway string `yaml:"gateway" validate:"required,hostname_port"`
+	// KV, InstanceList and Cloud are the platform's services.
+	KV           string `yaml:"kv" validate:"required,hostname_port"`
+	InstanceList string `yaml:"instance_list" validate:"required,hostname_port"`
+	Cloud        string `yaml:"cloud" validate:"omitempty,hostname_port"`
+
+	Telemetry telemetry.Settings `yaml:"telemetry"`
+	Intervals Intervals          `yaml:"intervals"`
+}
+
+// Intervals are the mean times between the agent's periodic actions; each is
+// jittered by a tenth.
+type Intervals struct {
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=100000000"`
+	// Digest is the time between digests when nothing urgent happened.
+	Digest time.Duration `yaml:"digest" validate:"min=100000000"`
+	// Observe is the time between polls of a server by its first observer; the
+	// second one takes twice as long.
+	Observe time.Duration `yaml:"observe" validate:"min=100000000"`
+	// View is the time between views when nothing urgent happened.
+	View time.Duration `yaml:"view" validate:"min=100000000"`
+	// Summary is the time between zone summaries.
+	Summary time.Duration `yaml:"summary" validate:"min=1000000000"`
+	// List is the shortest time between reads of the instance list in a scope.
+	List time.Duration `yaml:"list" validate:"min=1000000000"`
+}
+
+// DefaultSettings returns the values of keys that a settings file leaves out.
+func DefaultSettings() Settings {
+	return Settings{Intervals: Intervals{
+		Heartbeat: time.Second,
+		Digest:    2 * time.Second,
+		Observe:   time.Second,
+		View:      time.Second,
+		Summary:   5 * time.Second,
+		List:      2 * time.Second,
+	}}
+}
--- /dev/null
+++ b/internal/agent/view.go
@@ -0,0 +1,67 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"kumquatyard/internal/member"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// viewState is what the gateway is known to hold.
+type viewState struct {
+	sequence uint64
+	// synced is true after the gateway took the last view.
+	synced bool
+	config uint64
+}
+
+// pushView sends the gateway what changed, or everything after a failure.
+func (a *Agent) pushView(ctx context.Context, _ bool) {
+	version := a.config.Version()
+	view := a.nextView(time.Now(), version)
+	_, err := a.call(ctx, a.settings.Gateway, &pb.Request{Body: &pb.Request_View{View: view}})
+	a.gateway.synced = err == nil
+	if err != nil {
+		a.log.WithError(err).Debug("gateway did not take the view")
+		return
+	}
+	if view.Config != nil {
+		a.gateway.config = view.Config.GetVersion()
+	}
+}
+
+func (a *Agent) nextView(now time.Time, version uint64) *pb.View {
+	a.gateway.sequence++
+	view := &pb.View{Sequence: a.gateway.sequence, Full: !a.gateway.synced}
+	if view.Full || version > a.gateway.config {
+		view.Config = a.config.Bundle()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if view.Full {
+		view.Servers = a.store.All(now)
+	} else {
+		view.Servers = a.store.TakeChanged(now)
+	}
+	view.Peers = a.viewPeers(now)
+	for _, s := range a.summaries {
+		view.Zones = append(view.Zones, s)
+	}
+	return view
+}
+
+// viewPeers returns the processes that a gateway may turn to: those in scope
+// that are not dead, itself and its agent included.
+func (a *Agent) viewPeers(now time.Time) []*pb.Peer {
+	out := []*pb.Peer{peerToProto(a.table.Self())}
+	for _, m := range a.table.Members(now) {
+		if !a.table.InScope(m.Zone) || m.Status == member.Dead || m.Status == member.Suspect {
+			continue
+		}
+		p := peerToProto(m.Peer)
+		p.Leaving = m.Status == member.Leaving
+		out = append(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,311 @@
+package duty
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/platform"
+)
+
+// fakeKV is a key-value service with leases, in the bubble's time.
+type fakeKV struct {
+	mu       sync.Mutex
+	entries  map[string]platform.Entry
+	sessions map[string]time.Time
+	ttl      time.Duration
+	index    uint64
+	down     bool
+	calls    int
+}
+
+func newFakeKV() *fakeKV {
+	return &fakeKV{entries: map[string]platform.Entry{}, sessions: map[string]time.Time{}}
+}
+
+var errDown = errors.New("service is down")
+
+// enter locks the service and ends lapsed sessions.
+func (f *fakeKV) enter() (func(), error) {
+	f.mu.Lock()
+	f.calls++
+	for id, until := range f.sessions {
+		if time.Now().After(until) {
+			f.end(id)
+		}
+	}
+	if f.down {
+		f.mu.Unlock()
+		return nil, errDown
+	}
+	return f.mu.Unlock, nil
+}
+
+func (f *fakeKV) end(id string) {
+	delete(f.sessions, id)
+	for key, e := range f.entries {
+		if e.Session == id {
+			e.Session = ""
+			f.entries[key] = e
+		}
+	}
+}
+
+func (f *fakeKV) Get(_ context.Context, key string) (platform.Entry, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	defer leave()
+	return f.entries[key], nil
+}
+
+func (f *fakeKV) CompareAndSwap(_ context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return 0, false, err
+	}
+	defer leave()
+	if f.entries[key].ModifyIndex != index {
+		return 0, false, nil
+	}
+	f.index++
+	f.entries[key] = platform.Entry{Key: key, Value: value, ModifyIndex: f.index}
+	return f.index, true, nil
+}
+
+func (f *fakeKV) CreateSession(_ context.Context, _ string, ttl time.Duration) (string, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return "", err
+	}
+	defer leave()
+	f.index++
+	f.ttl = ttl
+	id := strconv.FormatUint(f.index, 10)
+	f.sessions[id] = time.Now().Add(ttl)
+	return id, nil
+}
+
+func (f *fakeKV) RenewSession(_ context.Context, id string) error {
+	leave, err := f.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	if _, ok := f.sessions[id]; !ok {
+		return platform.ErrSessionGone
+	}
+	f.sessions[id] = time.Now().Add(f.ttl)
+	return nil
+}
+
+func (f *fakeKV) DestroySession(_ context.Context, id string) error {
+	leave, err := f.enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	f.end(id)
+	return nil
+}
+
+func (f *fakeKV) Acquire(_ context.Context, key string, value []byte, session string) (bool, error) {
+	leave, err := f.enter()
+	if err != nil {
+		return false, err
+	}
+	defer leave()
+	e := f.entries[key]
+	if e.Session != "" && e.Session != session {
+		return false, nil
+	}
+	f.index++
+	f.entries[key] = platform.Entry{Key: key, Value: value, ModifyIndex: f.index, Session: session}
+	return true, nil
+}
+
+// orders records who gave orders when.
+type orders struct {
+	mu   sync.Mutex
+	list []order
+}
+
+type order struct {
+	holder string
+	fence  uint64
+	at     time.Time
+}
+
+func (o *orders) last() order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.list[len(o.list)-1]
+}
+
+// lead gives an order every 500 ms after checking the lease. A frozen holder
+// ignores its context, as a stopped process does.
+func (o *orders) lead(holder string, frozen func() bool) func(context.Context, *Lease) error {
+	return func(ctx context.Context, lease *Lease) error {
+		for ctx.Err() == nil || frozen() {
+			for frozen() {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if err := lease.Check(); err != nil {
+				return err
+			}
+			o.mu.Lock()
+			o.list = append(o.list, order{holder: holder, fence: lease.Fence(), at: time.Now()})
+			o.mu.Unlock()
+			time.Sleep(500 * time.Millisecond)
+		}
+		return nil
+	}
+}
+
+// frozenKV stops the calls of a frozen process.
+type frozenKV struct {
+	*fakeKV
+	frozen func() bool
+}
+
+func (f frozenKV) RenewSession(ctx context.Context, id string) error {
+	if f.frozen() {
+		return errDown
+	}
+	return f.fakeKV.RenewSession(ctx, id)
+}
+
+func newDuty(kv KV, holder string, lead func(context.Context, *Lease) error) *Duty {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return &Duty{Name: "placement/a", Holder: holder, KV: kv, Settings: DefaultSettings, Log: logrus.NewEntry(logger), Lead: lead}
+}
+
+func TestFrozenHolderDoesNotActAfterItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, log := newFakeKV(), &orders{}
+		start := time.Now()
+		frozen := func() bool { at := time.Since(start); return at > 20*time.Second && at < 50*time.Second }
+		never := func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		first := newDuty(frozenKV{kv, frozen}, "first", log.lead("first", frozen))
+		second := newDuty(kv, "second", log.lead("second", never))
+		second.Candidate = func() bool { return time.Since(start) > 10*time.Second }
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = first.Run(ctx) })
+		wg.Go(func() { _ = second.Run(ctx) })
+		time.Sleep(2 * time.Minute)
+		cancel()
+		wg.Wait()
+		holders := map[string]bool{}
+		for i, o := range log.list {
+			holders[o.holder] = true
+			if i == 0 {
+				continue
+			}
+			last := log.list[i-1]
+			if o.fence < last.fence {
+				t.Fatalf("order %d of %s came after fence %d", o.fence, o.holder, last.fence)
+			}
+			if gap := o.at.Sub(last.at); o.holder != last.holder && gap < DefaultSettings.LongestOrder {
+				t.Errorf("%s took over from %s after %v, within the longest order", o.holder, last.holder, gap)
+			}
+		}
+		if !holders["first"] || !holders["second"] {
+			t.Errorf("orders came from %v, want both", holders)
+		}
+	})
+}
+
+func TestHolderStopsWhenTheServiceIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, log := newFakeKV(), &orders{}
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDuty(kv, "first", log.lead("first", func() bool { return false }))
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = d.Run(ctx) })
+		time.Sleep(time.Minute)
+		if len(d.Duties()) != 1 {
+			t.Fatal("duty is not held after a minute")
+		}
+		kv.mu.Lock()
+		kv.down = true
+		kv.mu.Unlock()
+		down := time.Now()
+		time.Sleep(time.Minute)
+		last := log.last().at
+		if limit := down.Add(DefaultSettings.TTL); !last.Before(limit) {
+			t.Errorf("last order came %v after the service went down, past the lease", last.Sub(down))
+		}
+		kv.mu.Lock()
+		kv.down = false
+		kv.mu.Unlock()
+		time.Sleep(time.Minute)
+		if len(d.Duties()) != 1 {
+			t.Error("duty is not held a minute after the service came back")
+		}
+		cancel()
+		wg.Wait()
+		if e := kv.entries[d.lockKey()]; e.Session != "" {
+			t.Error("lease was not given up at the stop")
+		}
+	})
+}
+
+// Two minutes of a held duty with one more candidate.
+func TestServiceCallsOfADuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, log := newFakeKV(), &orders{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for i := range 2 {
+			name := fmt.Sprintf("n%d", i)
+			d := newDuty(kv, name, log.lead(name, func() bool { return false }))
+			wg.Go(func() { _ = d.Run(ctx) })
+		}
+		time.Sleep(2 * time.Minute)
+		cancel()
+		wg.Wait()
+		if limit := 90; kv.calls > limit {
+			t.Errorf("%d calls to the service in 2 min, want at most %d", kv.calls, limit)
+		}
+	})
+}
+
+func TestSuccessorWaitsOutTheLongestOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv, log := newFakeKV(), &orders{}
+		never := func() bool { return false }
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = newDuty(kv, "first", log.lead("first", never)).Run(ctx) })
+		time.Sleep(20 * time.Second)
+		next, stop := context.WithCancel(t.Context())
+		second := newDuty(kv, "second", log.lead("second", never))
+		second.Settings.Retry = 10 * time.Millisecond
+		wg.Go(func() { _ = second.Run(next) })
+		time.Sleep(time.Second)
+		cancel()
+		time.Sleep(20 * time.Second)
+		stop()
+		wg.Wait()
+		for i, o := range log.list[1:] {
+			last := log.list[i]
+			if gap := o.at.Sub(last.at); o.holder != last.holder && gap < DefaultSettings.LongestOrder {
+				t.Errorf("%s acted %v after %s, within the longest order", o.holder, gap, last.holder)
+			}
+		}
+		if got := log.last().holder; got != "second" {
+			t.Errorf("last order came from %s, want second", got)
+		}
+	})
+}
--- a/internal/member/choose.go
+++ b/internal/member/choose.go
@@ -53,58 +53,68 @@
 // Heirs returns the members that try for a duty, the preferred one first.
 func Heirs(duty string, live []string, n int) []string { return Rendezvous("duty/"+duty, live, n) }
 
-// Live returns the ids of the live members of a zone with the given role, self
+// Live returns the ids of the live members of a zone with self's role, self
 // included unless it leaves, ordered.
-func (t *Table) Live(zone, role string, now time.Time) []string {
+func (t *Table) Live(zone string, now time.Time) []string {
+	return t.live(func(z string) bool { return z == zone }, now)
+}
+
+// LiveInScope is Live for all zones in scope.
+func (t *Table) LiveInScope(now time.Time) []string { return t.live(t.InScope, now) }
+
+func (t *Table) live(inZone func(string) bool, now time.Time) []string {
 	var out []string
 	for _, m := range t.Members(now) {
-		if m.Status == Alive && m.Zone == zone && m.Role == role {
+		if m.Status == Alive && m.Role == t.self.Role && inZone(m.Zone) {
 			out = append(out, m.ID)
 		}
 	}
-	if t.self.Zone == zone && t.self.Role == role && !t.self.Leaving {
+	if inZone(t.self.Zone) && !t.self.Leaving {
 		out = append(out, t.self.ID)
 	}
 	slices.Sort(out)
 	return out
 }
 
-// ZonePeers returns the members of self's zone and role that messages are sent
-// to: all but dead ones.
-func (t *Table) ZonePeers(now time.Time) []Member {
+// ScopePeers returns the members of self's scope and role that messages are
+// sent to: all but dead ones.
+func (t *Table) ScopePeers(now time.Time) []Member {
+	return t.scopePeers(now, func(s Status) bool { return s != Dead })
+}
+
+func (t *Table) scopePeers(now time.Time, accept func(Status) bool) []Member {
 	var out []Member
 	for _, m := range t.Members(now) {
-		if m.Zone == t.self.Zone && m.Role == t.self.Role && m.Status != Dead && m.Address != "" {
+		if t.InScope(m.Zone) && m.Role == t.self.Role && m.Address != "" && accept(m.Status) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
-// HeartbeatTargets returns the next HeartbeatFanOut members after self in the
-// ring of the zone's ids, so that fan-in equals fan-out, and dead members in
-// turn, one for each round, so that a cut that healed is found.
+// HeartbeatTargets returns the members that self sends heartbeats to: the next
+// HeartbeatFanOut-1 live ones in the ring of the scope's ids, and one of all
+// members, dead ones included, in turn. Fan-in is bounded as fan-out is, and
+// each pair meets again after a cut.
 func (t *Table) HeartbeatTargets(round uint64, now time.Time) []Member {
-	ring := t.ZonePeers(now)
-	first, _ := slices.BinarySearchFunc(ring, t.self.ID, func(m Member, id string) int { return cmp.Compare(m.ID, id) })
-	out := make([]Member, 0, HeartbeatFanOut+1)
-	for i := range min(HeartbeatFanOut, len(ring)) {
-		out = append(out, ring[(first+i)%len(ring)])
+	ring := t.ring(now, func(s Status) bool { return s != Dead })
+	out := append([]Member(nil), ring[:min(HeartbeatFanOut-1, len(ring))]...)
+	all := t.ring(now, func(Status) bool { return true })
+	if len(all) == 0 {
+		return nil
 	}
-	if dead := t.deadInZone(now); len(dead) > 0 {
-		out = append(out, dead[round%uint64(len(dead))])
+	other := all[round%uint64(len(all))]
+	if !slices.ContainsFunc(out, func(m Member) bool { return m.ID == other.ID }) {
+		out = append(out, other)
 	}
 	return out
 }
 
-func (t *Table) deadInZone(now time.Time) []Member {
-	var out []Member
-	for _, m := range t.Members(now) {
-		if m.Zone == t.self.Zone && m.Role == t.self.Role && m.Status == Dead && m.Address != "" {
-			out = append(out, m)
-		}
-	}
-	return out
+// ring returns the accepted members of the scope, ordered from self's id on.
+func (t *Table) ring(now time.Time, accept func(Status) bool) []Member {
+	peers := t.scopePeers(now, accept)
+	first, _ := slices.BinarySearchFunc(peers, t.self.ID, func(m Member, id string) int { return cmp.Compare(m.ID, id) })
+	return slices.Concat(peers[first:], peers[:first])
 }
 
 // SummarySender returns who tells zone to about zone from, out of the live ids
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -61,10 +61,16 @@
 	DeadAfter    time.Duration
 	// ForgetAfter removes dead members that the instance list lacks.
 	ForgetAfter time.Duration
+	// HearsayLifetime is how long a process of another role counts after its
+	// agent told of it.
+	HearsayLifetime time.Duration
 }
 
 // DefaultLimits suspect a member after 3 s.
-var DefaultLimits = Limits{SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second, ForgetAfter: 10 * time.Minute}
+var DefaultLimits = Limits{
+	SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second,
+	ForgetAfter: 10 * time.Minute, HearsayLifetime: 2 * time.Minute,
+}
 
 // Listed is an entry of the instance list.
 type Listed struct {
@@ -99,18 +105,31 @@
 type Table struct {
 	self    Peer
 	limits  Limits
+	scope   map[string]bool
 	records map[string]*record
 	news    map[string]bool
 }
 
 // NewTable returns a Table that knows only self.
 func NewTable(self Peer, limits Limits) *Table {
-	return &Table{self: self, limits: limits, records: map[string]*record{}, news: map[string]bool{}}
+	return &Table{self: self, limits: limits, scope: map[string]bool{self.Zone: true}, records: map[string]*record{}, news: map[string]bool{}}
 }
 
 // Self returns the process that owns the table.
 func (t *Table) Self() Peer { return t.self }
 
+// SetScope sets the zones whose members share heartbeats and digests with
+// self; its own zone always does.
+func (t *Table) SetScope(zones []string) {
+	t.scope = map[string]bool{t.self.Zone: true}
+	for _, zone := range zones {
+		t.scope[zone] = true
+	}
+}
+
+// InScope reports whether zone shares heartbeats and digests with self.
+func (t *Table) InScope(zone string) bool { return t.scope[zone] }
+
 // SetLeaving marks the process itself as leaving.
 func (t *Table) SetLeaving() { t.self.Leaving = true }
 
@@ -122,6 +141,16 @@
 	}
 }
 
+// HeardFrom is Heard for a message that carries only the sender's id; a sender
+// that is not known yet is left to its heartbeat.
+func (t *Table) HeardFrom(id string, incarnation uint64, now time.Time) {
+	if r, known := t.records[id]; known && incarnation >= r.peer.Incarnation {
+		p := r.peer
+		p.Incarnation = incarnation
+		t.Heard(p, now)
+	}
+}
+
 // Learned records what another process said about p.
 func (t *Table) Learned(p Peer, now time.Time) { t.learn(p, now) }
 
@@ -136,6 +165,9 @@
 		t.news[p.ID] = true
 		return r
 	}
+	if r.heard.IsZero() {
+		r.learned = now
+	}
 	merged := MergePeer(r.peer, p)
 	if merged.Incarnation != r.peer.Incarnation {
 		r.learned, r.heard = now, time.Time{}
@@ -195,7 +227,7 @@
 	}
 	silence := now.Sub(r.since())
 	switch {
-	case r.heard.IsZero() && (r.listed || silence <= t.limits.DeadAfter):
+	case r.heard.IsZero() && (r.listed || silence <= t.hearsayLimit(r)):
 		return Unheard
 	case silence <= t.limits.SuspectAfter:
 		return Alive
@@ -206,6 +238,13 @@
 	}
 }
 
+func (t *Table) hearsayLimit(r *record) time.Duration {
+	if r.peer.Role == t.self.Role {
+		return t.limits.DeadAfter
+	}
+	return t.limits.HearsayLifetime
+}
+
 // Members returns all known members but self, ordered by id.
 func (t *Table) Members(now time.Time) []Member {
 	out := make([]Member, 0, len(t.records))
@@ -226,13 +265,21 @@
 }
 
 // TakeNews returns up to limit peers whose description changed since they were
-// last taken, to be told to others.
-func (t *Table) TakeNews(limit int) []Peer {
+// last taken, to be told to others, and the processes of other roles that were
+// heard themselves. Hearsay is told once, so that nobody keeps the dead alive.
+func (t *Table) TakeNews(limit int, now time.Time) []Peer {
 	ids := slices.Sorted(maps.Keys(t.news))
 	ids = ids[:min(limit, len(ids))]
-	out := make([]Peer, 0, len(ids))
+	out := make([]Peer, 0, len(ids)+1)
 	for _, id := range ids {
 		out = append(out, t.records[id].peer)
+	}
+	for id, r := range t.records {
+		if r.peer.Role != t.self.Role && !r.heard.IsZero() && t.status(r, now) != Dead && !slices.Contains(ids, id) {
+			out = append(out, r.peer)
+		}
+	}
+	for _, id := range ids {
 		delete(t.news, id)
 	}
 	return out
--- a/internal/observe/codec.go
+++ b/internal/observe/codec.go
@@ -1,6 +1,7 @@
 package observe
 
 import (
+	"math"
 	"time"
 
 	"kumquatyard/internal/machine"
@@ -43,8 +44,11 @@
 	return out
 }
 
+// ageMillis returns the age of a load; the greatest one stands for a load that
+// the sender does not vouch for.
 func ageMillis(at, now time.Time) uint32 {
-	return uint32(max(0, now.Sub(at).Milliseconds()))
+	age := now.Sub(at).Milliseconds()
+	return uint32(min(max(0, age), math.MaxUint32))
 }
 
 // decodeState is the inverse of encodeState; base supplies the fields that did
--- a/internal/observe/publisher.go
+++ b/internal/observe/publisher.go
@@ -42,7 +42,8 @@
 	if known {
 		merged = machine.Merge(old.state, s)
 	}
-	if known && !significant(old.state, merged) {
+	resumed := known && old.state.Load.At.IsZero() && !merged.Load.At.IsZero()
+	if known && !resumed && !significant(old.state, merged) {
 		old.state.Load.At = merged.Load.At
 		p.servers[s.ID] = old
 		return false
@@ -70,7 +71,20 @@
 	return s.state, ok
 }
 
-// Forget drops a server that is no longer observed.
+// Withdraw says that the process no longer observes a server: its lifecycle
+// still counts, its load does not.
+func (p *Publisher) Withdraw(id machine.ID) {
+	s, ok := p.servers[id]
+	if !ok || s.state.Load.At.IsZero() {
+		return
+	}
+	s.state.Load.At = time.Time{}
+	p.version++
+	s.changed = p.version
+	p.servers[id] = s
+}
+
+// Forget drops a server that the configuration no longer has.
 func (p *Publisher) Forget(id machine.ID) {
 	delete(p.servers, id)
 	p.cache.take(id, 0)
--- a/internal/observe/store.go
+++ b/internal/observe/store.go
@@ -35,6 +35,7 @@
 	merged   map[machine.ID]machine.State
 	dirty    map[machine.ID]bool
 	cache    cacheLog
+	urgent   bool
 }
 
 // NewStore returns an empty Store.
@@ -150,6 +151,7 @@
 	}
 	s.merged[id] = merged
 	urgent = !known || !sameUrgent(old, merged)
+	s.urgent = s.urgent || urgent
 	if urgent || !merged.Load.At.Equal(old.Load.At) {
 		s.dirty[id] = true
 	}
@@ -163,6 +165,13 @@
 	}
 }
 
+// TakeUrgent reports whether urgent fields changed since the last call.
+func (s *Store) TakeUrgent() bool {
+	urgent := s.urgent
+	s.urgent = false
+	return urgent
+}
+
 // State returns the merged state of a server.
 func (s *Store) State(id machine.ID) (machine.State, bool) {
 	state, ok := s.merged[id]
