--- /dev/null
+++ b/cmd/kumquatctl/main.go
@@ -0,0 +1,10 @@
+// Command kumquatctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"kumquatyard/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/configstore/writer.go
+++ b/internal/configstore/writer.go
@@ -314,3 +314,13 @@
 	}
 	return head.Head, docs, nil
 }
+
+// Config returns the newest configuration, checked.
+func (w *Writer) Config(ctx context.Context) (*config.Config, error) {
+	head, err := readHead(ctx, w.kv)
+	if err != nil {
+		return nil, err
+	}
+	built, problems, err := w.check(ctx, head.Head, config.Change{})
+	return built, errors.Join(problems, err)
+}
--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,55 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/configstore"
+	"kumquatyard/internal/settings"
+)
+
+// maxDrainTries bounds the tries of a drain whose override others change.
+const maxDrainTries = 5
+
+// drain sets the drain key of the override of a server, zone or entry
+// instance and keeps its other keys.
+func (a *app) drain(ctx context.Context, id string, drained bool, note string) error {
+	w := configstore.NewWriter(a.kv)
+	var change config.Change
+	for range maxDrainTries {
+		head, docs, err := w.Read(ctx)
+		if err != nil {
+			return err
+		}
+		name := config.OverridesPrefix + id
+		body, err := drainOverride(name, docs[name], drained, note)
+		if err != nil {
+			return err
+		}
+		change = a.newChange("", head)
+		put(&change, head, name, body)
+		result, err := w.Apply(ctx, change)
+		if err != nil {
+			return err
+		}
+		if result.Outcome != configstore.Conflicted {
+			return a.report(change.ID, result, nil)
+		}
+	}
+	return fmt.Errorf("the override of %s kept changing; nothing was changed", id)
+}
+
+func drainOverride(name string, body []byte, drained bool, note string) ([]byte, error) {
+	var o config.Override
+	if err := settings.Decode(name, body, &o); err != nil {
+		return nil, err
+	}
+	o.Drain = &drained
+	if note != "" {
+		o.Note = note
+	}
+	return yaml.Marshal(o)
+}
--- /dev/null
+++ b/internal/ctl/rules.go
@@ -0,0 +1,296 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/configstore"
+)
+
+// changeIDLength is the length of a change id; each character has 5 bits.
+const changeIDLength = 16
+
+// baseLine is the first line of a document that was got for editing.
+const baseLine = "# kumquatctl: %s from version %d hash %s\n"
+
+// newChange returns an empty change on top of head. An id that is given
+// repeats an earlier run.
+func (a *app) newChange(id string, head config.Head) config.Change {
+	retry := id != ""
+	if !retry {
+		id = rand.Text()[:changeIDLength]
+	}
+	return config.Change{
+		ID: id, Author: a.Author, At: a.now(), BaseVersion: head.Version, Retry: retry,
+		BaseHashes: make(map[string]config.Hash), Puts: make(map[string][]byte),
+	}
+}
+
+// put adds a document to change, based on what head holds.
+func put(change *config.Change, head config.Head, name string, body []byte) {
+	change.Puts[name] = body
+	if hash, ok := head.Documents[name]; ok {
+		change.BaseHashes[name] = hash
+	}
+}
+
+func (a *app) apply(ctx context.Context, w *configstore.Writer, change config.Change, rows []rowChange) error {
+	result, err := w.Apply(ctx, change)
+	if err != nil {
+		return err
+	}
+	return a.report(change.ID, result, rows)
+}
+
+type documentRow struct {
+	Name  string      `json:"name"`
+	Hash  config.Hash `json:"hash"`
+	Bytes int         `json:"bytes"`
+}
+
+type documentList struct {
+	Version   uint64        `json:"version"`
+	Documents []documentRow `json:"documents"`
+}
+
+func (l documentList) tables() []table.Writer {
+	t := newTable(fmt.Sprintf("Documents of version %d", l.Version), "name", "bytes", "hash")
+	for _, d := range l.Documents {
+		t.AppendRow(table.Row{d.Name, d.Bytes, d.Hash})
+	}
+	return []table.Writer{t}
+}
+
+func (a *app) listDocuments(ctx context.Context) error {
+	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	if err != nil {
+		return err
+	}
+	list := documentList{Version: head.Version}
+	for _, name := range slices.Sorted(maps.Keys(docs)) {
+		list.Documents = append(list.Documents, documentRow{Name: name, Hash: head.Documents[name], Bytes: len(docs[name])})
+	}
+	return a.print(list)
+}
+
+// withBase returns a document with its base line.
+func (a *app) withBase(ctx context.Context, name string) ([]byte, error) {
+	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	body, ok := docs[name]
+	if !ok {
+		return nil, usage("there is no document %s; kumquatctl rules list shows all", name)
+	}
+	return append(fmt.Appendf(nil, baseLine, name, head.Version, head.Documents[name]), body...), nil
+}
+
+func (a *app) getDocument(ctx context.Context, name string) error {
+	text, err := a.withBase(ctx, name)
+	if err != nil {
+		return err
+	}
+	_, err = a.stdout.Write(text)
+	return err
+}
+
+func (a *app) editDocument(ctx context.Context, name string) error {
+	text, err := a.withBase(ctx, name)
+	if err != nil {
+		return err
+	}
+	file := strings.ReplaceAll(name, "/", "-") + ".yaml"
+	f, err := os.OpenFile(file, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return usage("%w; move the file away first", err)
+	}
+	defer f.Close()
+	if _, err := f.Write(text); err != nil {
+		return err
+	}
+	return a.print(outcome{Outcome: "written", Advice: fmt.Sprintf("edit %s, then: kumquatctl rules apply %s %s", file, name, file)})
+}
+
+// base is the version that a file was edited from.
+type base struct {
+	version uint64
+	hash    config.Hash
+}
+
+// splitBase takes the base line off a file. A file without one is a new
+// document, which nobody else may have made meanwhile.
+func splitBase(name string, text []byte) (base, []byte, error) {
+	line, rest, _ := bytes.Cut(text, []byte("\n"))
+	if !bytes.HasPrefix(line, []byte("# kumquatctl: ")) {
+		return base{}, text, nil
+	}
+	var found string
+	var b base
+	if _, err := fmt.Sscanf(string(line)+"\n", baseLine, &found, &b.version, &b.hash); err != nil {
+		return base{}, nil, usage("the first line is damaged (%w); get the document again", err)
+	}
+	if found != name {
+		return base{}, nil, usage("the file holds %s, not %s", found, name)
+	}
+	return b, rest, nil
+}
+
+func (a *app) applyDocument(ctx context.Context, name, file, id string, force bool) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	from, body, err := splitBase(name, text)
+	if err != nil {
+		return err
+	}
+	w := configstore.NewWriter(a.kv)
+	head, _, err := w.Read(ctx)
+	if err != nil {
+		return err
+	}
+	change := a.newChange(id, head)
+	put(&change, head, name, body)
+	if !force {
+		change.BaseVersion = from.version
+		change.BaseHashes = map[string]config.Hash{name: from.hash}
+	}
+	return a.apply(ctx, w, change, nil)
+}
+
+func (a *app) deleteDocument(ctx context.Context, name, id string) error {
+	w := configstore.NewWriter(a.kv)
+	head, _, err := w.Read(ctx)
+	if err != nil {
+		return err
+	}
+	change := a.newChange(id, head)
+	if hash, ok := head.Documents[name]; ok {
+		change.BaseHashes[name] = hash
+	} else if id == "" {
+		return usage("there is no document %s", name)
+	}
+	change.Deletes = []string{name}
+	return a.apply(ctx, w, change, nil)
+}
+
+// loadDirectory puts the documents of a directory that differ from those in force.
+func (a *app) loadDirectory(ctx context.Context, directory, id string) error {
+	docs, err := ReadDirectory(os.DirFS(directory))
+	if err != nil {
+		return usage("%s: %w", directory, err)
+	}
+	w := configstore.NewWriter(a.kv)
+	head, _, err := w.Read(ctx)
+	if err != nil {
+		return err
+	}
+	change := a.newChange(id, head)
+	for name, body := range docs {
+		if id != "" || head.Documents[name] != config.HashOf(body) {
+			put(&change, head, name, body)
+		}
+	}
+	if len(change.Puts) == 0 {
+		return a.print(outcome{Outcome: "unchanged", Version: head.Version})
+	}
+	return a.apply(ctx, w, change, nil)
+}
+
+// ReadDirectory returns the documents kept as zones.yaml, rules/*.yaml and
+// overrides/*.yaml, by document name.
+func ReadDirectory(directory fs.FS) (map[string][]byte, error) {
+	docs := make(map[string][]byte)
+	for _, pattern := range []string{"zones.yaml", "rules/*.yaml", "overrides/*.yaml"} {
+		files, err := fs.Glob(directory, pattern)
+		if err != nil {
+			return nil, err
+		}
+		for _, file := range files {
+			body, err := fs.ReadFile(directory, file)
+			if err != nil {
+				return nil, err
+			}
+			docs[strings.TrimSuffix(file, filepath.Ext(file))] = body
+		}
+	}
+	if len(docs) == 0 {
+		return nil, fmt.Errorf("holds none of zones.yaml, rules/*.yaml and overrides/*.yaml")
+	}
+	return docs, nil
+}
+
+type difference struct {
+	Name    string   `json:"name"`
+	Version uint64   `json:"version"`
+	Lines   []string `json:"lines"`
+}
+
+func (d difference) tables() []table.Writer {
+	t := newTable(fmt.Sprintf("%s: version %d → file", d.Name, d.Version), "line")
+	for _, line := range d.Lines {
+		t.AppendRow(table.Row{line})
+	}
+	return []table.Writer{t}
+}
+
+func (a *app) diffDocument(ctx context.Context, name, file string) error {
+	text, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	_, body, err := splitBase(name, text)
+	if err != nil {
+		return err
+	}
+	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	if err != nil {
+		return err
+	}
+	return a.print(difference{Name: name, Version: head.Version, Lines: diffLines(string(docs[name]), string(body))})
+}
+
+type historyRow struct {
+	Version   uint64    `json:"version"`
+	ID        string    `json:"change_id"`
+	Author    string    `json:"author"`
+	At        time.Time `json:"at"`
+	Documents []string  `json:"documents"`
+}
+
+type changeHistory struct {
+	Changes []historyRow `json:"changes"`
+}
+
+func (h changeHistory) tables() []table.Writer {
+	t := newTable("Accepted changes", "version", "change", "author", "at", "documents")
+	for _, c := range h.Changes {
+		t.AppendRow(table.Row{c.Version, c.ID, c.Author, c.At.Format(time.RFC3339), strings.Join(c.Documents, "\n")})
+	}
+	return []table.Writer{t}
+}
+
+func (a *app) history(ctx context.Context) error {
+	head, _, err := configstore.NewWriter(a.kv).Read(ctx)
+	if err != nil {
+		return err
+	}
+	var h changeHistory
+	for _, c := range slices.Backward(head.Changes) {
+		h.Changes = append(h.Changes, historyRow{Version: c.Version, ID: c.ID, Author: c.Author, At: time.Unix(c.AtUnix, 0).UTC(), Documents: c.Documents})
+	}
+	return a.print(h)
+}
