claim: a call repeated with the run id of the holder is granted again

The gateway repeats a call whose reply was lost. The repeat is granted after a commit has shown that the owner is still the owner and no settlement of the run waits; a refusal says MayHaveRun when the claim's record may be stored, so that the gateway settles it as not run.

--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -152,9 +152,7 @@
 	failed = append(failed, s.queue...)
 	s.queue = nil
 	for _, it := range failed {
-		if it.claim != nil {
-			delete(s.busy, it.id)
-		}
+		s.unblock(it)
 		s.refuse(it, s.unavailable())
 	}
 	for _, it := range failed {
@@ -207,24 +205,27 @@
 		if it.record != nil {
 			s.table.apply(it.record)
 		}
-		if it.claim != nil {
-			delete(s.busy, it.id)
-			s.grant(now, it)
-		} else {
-			s.answer(it, Reply{})
-		}
+		s.unblock(it)
+		s.answerCommitted(now, it)
 	}
 	for _, it := range done.items {
 		s.wake(now, it.id)
 	}
 }
 
-func (s *Shard) grant(now time.Time, it *item) {
-	if it.abandoned {
+func (s *Shard) answerCommitted(now time.Time, it *item) {
+	e := s.table.entries[it.id]
+	switch {
+	case it.settle != nil:
+		s.answer(it, Reply{})
+	case it.abandoned && it.record != nil:
 		s.admitSettle(now, &item{id: it.id, settle: &pb.ClaimSettle{
 			Key: it.record.GetKey(), RunId: it.record.GetRunId(), Verdict: pb.Verdict_VERDICT_NOT_RUN,
 		}})
-		return
+	case it.abandoned:
+	case s.holds(e, it):
+		s.answer(it, Reply{Claim: &pb.ClaimReply{Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED, Holder: e.requestID}})
+	default:
+		s.admitClaim(now, it)
 	}
-	s.answer(it, Reply{Claim: &pb.ClaimReply{Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED, Holder: it.record.GetRequestId()}})
 }
--- a/internal/claim/request.go
+++ b/internal/claim/request.go
@@ -35,7 +35,8 @@
 	id     ID
 	claim  *pb.ClaimRequest
 	settle *pb.ClaimSettle
-	// record is nil for a settlement that changes nothing.
+	// record is nil for a settlement that changes nothing and for a claim whose
+	// record is stored already; both are answered after the next commit.
 	record *pb.ClaimRecord
 	// at is when the item was queued.
 	at    time.Time
@@ -45,7 +46,9 @@
 	abandoned bool
 }
 
-// Claim decides a claim. The reply comes by Replies, at once or later.
+// Claim decides a claim. The reply comes by Replies, at once or later. An error
+// says NotRun when no record of the claim can be stored. After MayHaveRun, the
+// holder of the run id either claims again with it or settles it as not run.
 func (s *Shard) Claim(now time.Time, ticket uint64, req *pb.ClaimRequest) {
 	s.enter(now, &item{ticket: ticket, id: idOf(req.GetKey()), claim: req})
 }
@@ -82,15 +85,46 @@
 
 func (s *Shard) admitClaim(now time.Time, it *item) {
 	e, held := s.table.entries[it.id]
-	if !held {
-		if other := s.busy[it.id]; other != nil {
-			e, held = pendingEntry(other, now), true
-		}
-	}
-	if held {
+	other := s.busy[it.id]
+	switch {
+	case held && s.holds(e, it) && !s.ending(it.id):
+		s.enqueue(now, it, nil)
+		return
+	case held:
 		s.admitRepeat(now, it, e)
 		return
+	case other != nil && other.claim.GetRunId() == it.claim.GetRunId():
+		s.replace(other, it)
+		return
+	case other != nil:
+		s.admitRepeat(now, it, pendingEntry(other, now))
+		return
 	}
+	s.admitNew(now, it)
+}
+
+// holds reports whether it repeats the claim of the run that holds the key,
+// because the reply was lost. It is granted again, once a commit has shown that
+// this owner is still the owner.
+func (s *Shard) holds(e entry, it *item) bool {
+	return e.runID == it.claim.GetRunId() && e.verdict == pb.Verdict_VERDICT_UNSPECIFIED
+}
+
+// ending reports whether a settlement of the key waits for its commit.
+func (s *Shard) ending(id ID) bool {
+	ends := func(it *item) bool { return it.id == id && it.settle != nil && it.record != nil }
+	return slices.ContainsFunc(s.queue, ends) || (s.commit != nil && slices.ContainsFunc(s.commit.items, ends))
+}
+
+// replace lets a repeated call of a claim that is being stored take the place
+// of the earlier call, whose caller has gone.
+func (s *Shard) replace(earlier, it *item) {
+	s.refuse(earlier, s.inDoubt())
+	earlier.ticket, earlier.abandoned = it.ticket, false
+	s.tickets[it.ticket] = earlier
+}
+
+func (s *Shard) admitNew(now time.Time, it *item) {
 	switch {
 	case s.full() && s.expired(now) == 0:
 		oldest := s.table.windows[0].newest.Add(s.limits.Retention + clockMargin)
@@ -180,8 +214,8 @@
 }
 
 // GiveUp answers a claim whose caller waits no longer: a repeat hears what is
-// known of the run, any other claim is refused and, should its record be
-// stored, freed.
+// known of the run, any other claim is refused. The refusal says MayHaveRun
+// when the claim's record may be stored, in which case it is freed again.
 func (s *Shard) GiveUp(now time.Time, ticket uint64) {
 	it := s.tickets[ticket]
 	if it == nil {
@@ -197,21 +231,28 @@
 }
 
 func (s *Shard) abandon(now time.Time, it *item) {
-	s.refuse(it, s.unavailable())
 	switch it.place {
 	case inHeld:
+		s.refuse(it, s.unavailable())
 		s.held = without(s.held, it)
 	case inQueue:
+		s.refuse(it, s.unavailable())
 		s.queue = without(s.queue, it)
-		if it.claim != nil {
-			delete(s.busy, it.id)
-			s.wake(now, it.id)
-		}
+		s.unblock(it)
+		s.wake(now, it.id)
 	case inCommit:
+		s.refuse(it, s.inDoubt())
 		it.abandoned = true
 	}
 }
 
+// unblock forgets that it is the claim that other claims of the key wait for.
+func (s *Shard) unblock(it *item) {
+	if s.busy[it.id] == it {
+		delete(s.busy, it.id)
+	}
+}
+
 func without(items []*item, it *item) []*item {
 	return slices.DeleteFunc(items, func(other *item) bool { return other == it })
 }
@@ -285,6 +326,12 @@
 	}
 }
 
+func (s *Shard) inDoubt() *contract.Error {
+	err := s.unavailable()
+	err.Verdict = contract.MayHaveRun
+	return err
+}
+
 func overloaded(retryAfter time.Duration) *contract.Error {
 	return &contract.Error{
 		Kind: contract.KindOverloaded, Verdict: contract.NotRun,
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -35,7 +35,9 @@
 	for _, waiters := range s.waiters {
 		s.held = append(s.held, waiters...)
 	}
-	slices.SortStableFunc(s.held, byTicket)
+	// A claim that this owner meant to free may be granted again by the next.
+	s.held = slices.DeleteFunc(s.held, func(it *item) bool { return it.ticket == 0 })
+	slices.SortFunc(s.held, byTicket)
 	for _, it := range s.held {
 		it.place = inHeld
 	}
