--- a/internal/route/cache.go
+++ b/internal/route/cache.go
@@ -1,6 +1,10 @@
 package route
 
-import "maps"
+import (
+	"maps"
+
+	"kumquatyard/internal/machine"
+)
 
 // CacheView is what is known of a server's prefix cache. Its events come late
 // and with gaps, so a view may be wrong in both directions.
@@ -11,116 +15,118 @@
 	Suspect() bool
 }
 
-// overlayShare and overlayMin bound a layer's overlay: it is merged once it is
-// larger than overlayMin plus a share of the base.
 const (
+	// overlayShare and overlayMin bound the overlay of changes: it is merged
+	// into the base once it is larger than overlayMin plus a share of the base.
 	overlayShare = 4
 	overlayMin   = 64
+	// keptGaps is the number of gaps that a block is believed to outlive
+	// without being added again.
+	keptGaps = 16
+	// maxBlocks bounds the blocks of one server that are remembered.
+	maxBlocks = 1 << 17
+	// absent marks a removed block in an overlay.
+	absent = 0
 )
 
-// layer is a set of hashes, as an immutable base and a small overlay.
-type layer struct {
-	base    map[uint64]struct{}
-	overlay map[uint64]bool
-}
-
-func (l *layer) has(hash uint64) bool {
-	if present, ok := l.overlay[hash]; ok {
-		return present
-	}
-	_, ok := l.base[hash]
-	return ok
-}
-
-func (l *layer) set(hash uint64, present bool) {
-	if l.overlay == nil {
-		l.overlay = make(map[uint64]bool)
-	}
-	l.overlay[hash] = present
-}
-
-// freeze returns a layer that later changes to l do not reach.
-func (l *layer) freeze() layer {
-	if len(l.overlay) > overlayMin+len(l.base)/overlayShare {
-		l.base = l.merged()
-		l.overlay = nil
-	}
-	return layer{base: l.base, overlay: maps.Clone(l.overlay)}
-}
-
-func (l *layer) merged() map[uint64]struct{} {
-	merged := make(map[uint64]struct{}, len(l.base)+len(l.overlay))
-	for hash := range l.base {
-		merged[hash] = struct{}{}
-	}
-	for hash, present := range l.overlay {
-		if present {
-			merged[hash] = struct{}{}
-		} else {
-			delete(merged, hash)
-		}
-	}
-	return merged
-}
-
 // CacheBuilder follows the cache events of one server. It is not safe for
 // concurrent use; the views it publishes are. The zero CacheBuilder is empty.
 //
-// After a gap the blocks known so far are kept apart as suspect. They are
-// dropped once as many blocks have been added anew, or at the next gap, so a
-// builder never holds more than twice the blocks that were added between gaps.
+// Blocks known before a gap are still believed, since most of them survive it,
+// but the view is suspect until as many blocks have been added again as were
+// known at the gap. A block is forgotten after a number of gaps, so that a
+// lost removal is not believed for ever.
 type CacheBuilder struct {
-	fresh, old layer
-	oldSize    int
-	added      int
+	// base and overlay map blocks to the generation in which they were added;
+	// base is never changed once it is published.
+	base, overlay map[uint64]uint32
+	// generation counts gaps from 1.
+	generation uint32
+	// suspect counts the blocks to be added before the view is trusted again.
+	suspect int
+	// index, if any, is told of the server's blocks under its hash.
+	index  *Index
+	holder uint32
+}
+
+// NewCacheBuilder returns a builder that also keeps an Index up to date.
+func NewCacheBuilder(id machine.ID, index *Index) *CacheBuilder {
+	return &CacheBuilder{index: index, holder: uint32(serverHash(id))}
 }
 
-// Added records that blocks are cached.
+// Added records that blocks are cached: by an event, or because the server has
+// just answered a prompt with them.
 func (b *CacheBuilder) Added(hashes ...uint64) {
 	for _, hash := range hashes {
-		b.fresh.set(hash, true)
-	}
-	b.added += len(hashes)
-	if b.oldSize > 0 && b.added >= b.oldSize {
-		b.old = layer{}
-		b.oldSize = 0
+		b.set(hash, b.generation+1)
+		if b.index != nil {
+			b.index.added(b.holder, hash)
+		}
 	}
+	b.suspect = max(0, b.suspect-len(hashes))
 }
 
 // Removed records that blocks were evicted.
 func (b *CacheBuilder) Removed(hashes ...uint64) {
 	for _, hash := range hashes {
-		b.fresh.set(hash, false)
-		if b.oldSize > 0 {
-			b.old.set(hash, false)
+		b.set(hash, absent)
+		if b.index != nil {
+			b.index.removed(b.holder, hash)
 		}
 	}
 }
 
 // Gap records that events were lost.
 func (b *CacheBuilder) Gap() {
-	b.old = layer{base: b.fresh.merged()}
-	b.oldSize = len(b.old.base)
-	b.fresh = layer{}
-	b.added = 0
+	b.merge()
+	b.generation++
+	b.suspect = len(b.base)
 }
 
 // Reset forgets everything, as after a restart of the server.
-func (b *CacheBuilder) Reset() { *b = CacheBuilder{} }
+func (b *CacheBuilder) Reset() { *b = CacheBuilder{index: b.index, holder: b.holder} }
 
 // View publishes what is known now.
 func (b *CacheBuilder) View() CacheView {
-	return &cacheSet{fresh: b.fresh.freeze(), old: b.old.freeze(), suspect: b.oldSize > 0}
+	if len(b.overlay) > overlayMin+len(b.base)/overlayShare {
+		b.merge()
+	}
+	return &cacheSet{base: b.base, overlay: maps.Clone(b.overlay), suspect: b.suspect > 0}
+}
+
+func (b *CacheBuilder) set(hash uint64, generation uint32) {
+	if b.overlay == nil {
+		b.overlay = make(map[uint64]uint32)
+	}
+	b.overlay[hash] = generation
+}
+
+// merge builds a new base without the removed and the forgotten blocks.
+func (b *CacheBuilder) merge() {
+	merged := make(map[uint64]uint32, len(b.base)+len(b.overlay))
+	maps.Copy(merged, b.base)
+	maps.Copy(merged, b.overlay)
+	maps.DeleteFunc(merged, func(_ uint64, generation uint32) bool {
+		return generation == absent || generation+keptGaps <= b.generation
+	})
+	if len(merged) > maxBlocks {
+		clear(merged)
+	}
+	b.base, b.overlay = merged, nil
 }
 
 // cacheSet is an immutable CacheView.
 type cacheSet struct {
-	fresh, old layer
-	suspect    bool
+	base, overlay map[uint64]uint32
+	suspect       bool
 }
 
 func (s *cacheSet) Known(hash uint64) bool {
-	return s.fresh.has(hash) || (s.suspect && s.old.has(hash))
+	if generation, ok := s.overlay[hash]; ok {
+		return generation != absent
+	}
+	_, ok := s.base[hash]
+	return ok
 }
 
 func (s *cacheSet) Suspect() bool { return s.suspect }
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -8,23 +8,25 @@
 
 const (
 	// levels is the number of prefix depths whose homes are considered.
-	levels = 5
+	levels = 4
 	// homes is the number of servers considered at each depth.
 	homes = 2
 	// samples is the number of servers compared by load alone.
 	samples = 2
 	// maxCandidates bounds the servers whose cost is computed.
-	maxCandidates = levels*homes + samples
+	maxCandidates = levels*(homes+1) + samples
 
 	// recomputeWeight is the weight of prompt processing against waiting: what
 	// is computed also delays others and evicts what they would reuse.
-	recomputeWeight = 3
+	recomputeWeight = 1
+	// reusePrecision is the part of a cached prefix that may go unnoticed.
+	reusePrecision = 8
 	// coldSeconds is the cost of a model that has to be loaded first.
 	coldSeconds = 10
 	// suspectShare is the part of a suspect cache that is counted on.
-	suspectShare = 0.5
+	suspectShare = 0.8
 	// homeShare is the part of a prompt that its home may hold unreported.
-	homeShare = 0.1
+	homeShare = 0.3
 	// reclaimsPerSecond is the assumed rate at which a reclaimable server is reclaimed.
 	reclaimsPerSecond = 1.0 / (4 * 3600)
 )
@@ -32,8 +34,6 @@
 // candidate is a server whose cost is compared.
 type candidate struct {
 	member *member
-	// depth is the prefix depth whose hash points to the server; 0 for samples.
-	depth int
 	// home is true for the first choice at the deepest level.
 	home bool
 	// cached are the prompt tokens believed to be cached.
@@ -46,13 +46,13 @@
 	n    int
 }
 
-func (c *candidates) add(m *member, depth int, home bool) {
+func (c *candidates) add(m *member, home bool) {
 	for i := range c.n {
 		if c.list[i].member == m {
 			return
 		}
 	}
-	c.list[c.n] = candidate{member: m, depth: depth, home: home}
+	c.list[c.n] = candidate{member: m, home: home}
 	c.n++
 }
 
@@ -63,7 +63,7 @@
 // reports would cause.
 func (v *View) chooseKumquat(t *tier, r *Request) (Choice, bool) {
 	var set candidates
-	set.addHomes(t, r)
+	set.addHomes(t, r, v.index)
 	set.addSamples(t, r)
 	if set.n == 0 {
 		return Choice{}, false
@@ -98,21 +98,42 @@
 }
 
 // addHomes adds the first rendezvous choices at the depths n, n/2, n/4, … where
-// n is the largest power of two that the prefix reaches.
-func (c *candidates) addHomes(t *tier, r *Request) {
+// n is the largest power of two that the prefix reaches, and the servers that
+// the index knows to hold a prefix of these depths.
+func (c *candidates) addHomes(t *tier, r *Request, index *Index) {
 	if len(r.Prefix) == 0 {
 		return
 	}
-	deepest := 1 << (bits.Len(uint(len(r.Prefix))) - 1)
-	for depth := deepest; depth > 0 && deepest/depth < 1<<levels; depth /= 2 {
-		first, second := t.rendezvous(r, r.Prefix[depth-1])
+	deepest := deepestLevel(r.Prefix)
+	for depth := deepest; depth > deepest>>levels; depth /= 2 {
+		key := r.Prefix[depth-1]
+		first, second := t.rendezvous(r, key)
 		if first != nil {
-			c.add(first, depth, depth == deepest)
+			c.add(first, depth == deepest)
 		}
 		if second != nil {
-			c.add(second, depth, false)
+			c.add(second, false)
 		}
+		if holder := t.holder(r, index, key); holder != nil {
+			c.add(holder, false)
+		}
+	}
+}
+
+// holder returns the server that the index has for a block, or nil.
+func (t *tier) holder(r *Request, index *Index, block uint64) *member {
+	if index == nil {
+		return nil
+	}
+	hash, ok := index.holder(block)
+	if !ok {
+		return nil
 	}
+	i, ok := t.byHash[hash]
+	if !ok || r.excluded(&t.members[i]) {
+		return nil
+	}
+	return &t.members[i]
 }
 
 // rendezvous returns the two servers with the highest hashes of id and key.
@@ -147,7 +168,7 @@
 		for i := range uint64(len(t.members)) {
 			m := &t.members[(start+i)%uint64(len(t.members))]
 			if !r.excluded(m) {
-				c.add(m, 0, false)
+				c.add(m, false)
 				break
 			}
 		}
@@ -163,20 +184,27 @@
 	return max(1, v.bound*sum/float64(max(c.n, 1)))
 }
 
-// reusable estimates the prompt tokens cached on the candidate. The search
-// assumes that a cache holding a block holds the blocks before it.
+// reusable estimates the prompt tokens cached on the candidate: the deepest of
+// the levels that is known, refined by bisection up to the next one to a part of
+// its length. It assumes that a cache holding a block holds the blocks before it.
 func (c *candidate) reusable(r *Request) int {
 	view := c.member.server.CachePrefixes
 	if view == nil || len(r.Prefix) == 0 {
 		return 0
 	}
 	low, high := 0, len(r.Prefix)
-	if c.depth > 0 && view.Known(r.Prefix[c.depth-1]) {
-		low = c.depth
-	} else if c.depth > 0 {
-		high = c.depth - 1
+	deepest := deepestLevel(r.Prefix)
+	for depth := deepest; depth > deepest>>levels; depth /= 2 {
+		if view.Known(r.Prefix[depth-1]) {
+			low = depth
+			break
+		}
+		high = depth - 1
 	}
-	for low < high {
+	if low == 0 {
+		return 0
+	}
+	for high-low > low/reusePrecision {
 		middle := (low + high + 1) / 2
 		if view.Known(r.Prefix[middle-1]) {
 			low = middle
@@ -187,6 +215,9 @@
 	return min(low*prefix.BlockTokens, r.PromptTokens)
 }
 
+// deepestLevel is the largest power of two that the prefix reaches.
+func deepestLevel(chain []uint64) int { return 1 << (bits.Len(uint(len(chain))) - 1) }
+
 // cost estimates the seconds to the first token, and adds the expected seconds
 // of work lost when the server is reclaimed.
 func (c *candidate) cost(r *Request) float64 {
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -72,7 +72,7 @@
 
 const (
 	// batchSlowdownSeconds is the delay that a full batch adds to a first token.
-	batchSlowdownSeconds = 0.05
+	batchSlowdownSeconds = 0.2
 	// minTokensPerRequest is the least work assumed of a queued request.
 	minTokensPerRequest = 64
 )
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -178,11 +178,11 @@
 }
 
 func benchmarkView(policy string) (*route.View, *route.Request) {
-	in := route.Input{Zone: "a", Zones: zones, Now: epoch, Routing: config.Routing{Policy: policy}}
+	in := route.Input{Zone: "a", Zones: zones, Now: epoch, Routing: config.Routing{Policy: policy}, Index: route.NewIndex(18)}
 	prompt := chain(3, 500)
 	for i := range 200 {
 		s := server(fmt.Sprint("s", i))
-		var b route.CacheBuilder
+		b := route.NewCacheBuilder(s.ID, in.Index)
 		b.Added(chain(uint64(i), 2000)...)
 		b.Added(prompt[:(i*7)%400]...)
 		s.CachePrefixes = b.View()
--- a/internal/route/view.go
+++ b/internal/route/view.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"kumquatyard/internal/config"
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/machine"
@@ -35,6 +33,8 @@
 	Servers []Server
 	Routing config.Routing
 	Now     time.Time
+	// Index finds holders of a prefix; nil leaves it to the hashes.
+	Index *Index
 }
 
 // Request is a request to be placed.
@@ -69,6 +69,7 @@
 	groups  map[groupKey]*group
 	policy  policy
 	bound   float64
+	index   *Index
 }
 
 type groupKey struct{ pool, model string }
@@ -81,6 +82,8 @@
 type tier struct {
 	members []member
 	hashes  []uint64
+	// byHash maps the lower half of a server's hash to its member.
+	byHash map[uint32]int
 }
 
 // Indexes of the tiers.
@@ -114,6 +117,7 @@
 		groups:  make(map[groupKey]*group),
 		policy:  policyOf(in.Routing.Policy),
 		bound:   in.Routing.LoadBound,
+		index:   in.Index,
 	}
 	if v.bound == 0 {
 		v.bound = defaultLoadBound
@@ -136,7 +140,7 @@
 func newMember(s *Server, in Input) member {
 	return member{
 		server: s,
-		hash:   xxhash.Sum64String(string(s.ID)),
+		hash:   serverHash(s.ID),
 		load:   newLoadEstimate(s, in.Now),
 		delay:  2 * in.Zones.Delay(in.Zone, s.Zone),
 	}
@@ -159,6 +163,10 @@
 		v.groups[key] = g
 	}
 	t := &g.tiers[index]
+	if t.byHash == nil {
+		t.byHash = make(map[uint32]int)
+	}
+	t.byHash[uint32(m.hash)] = len(t.members)
 	t.members = append(t.members, m)
 	t.hashes = append(t.hashes, m.hash)
 }
--- a/test/policy/gateway.go
+++ b/test/policy/gateway.go
@@ -15,6 +15,9 @@
 // the slots, so that uneven arrivals do not leave servers idle.
 const overcommit = 1.25
 
+// indexBits is the size of a gateway's index of blocks.
+const indexBits = 16
+
 // gateway routes and admits with its own lagging view.
 type gateway struct {
 	model      *Model
@@ -23,6 +26,7 @@
 	detector   *outlier.Detector
 	servers    map[machine.ID]*route.Server
 	builders   map[machine.ID]*route.CacheBuilder
+	index      *route.Index
 	view       *route.View
 	queued     map[uint64]*job
 	sent       map[*job]struct{}
@@ -55,13 +59,14 @@
 		detector: outlier.New(outlier.Settings{}),
 		servers:  make(map[machine.ID]*route.Server),
 		builders: make(map[machine.ID]*route.CacheBuilder),
+		index:    route.NewIndex(indexBits),
 		queued:   make(map[uint64]*job),
 		sent:     make(map[*job]struct{}),
 		turn:     uint64(i),
 	}
 	for _, e := range m.engines {
 		g.servers[e.server.ID] = &route.Server{Server: e.server, State: e.state(m.clock()), InFlight: &route.InFlight{}}
-		g.builders[e.server.ID] = &route.CacheBuilder{}
+		g.builders[e.server.ID] = route.NewCacheBuilder(e.server.ID, g.index)
 	}
 	g.controller = admit.New(admit.Limits{}, func(string) int { return 1 })
 	g.refresh()
@@ -84,7 +89,9 @@
 // refresh builds a view from what has arrived, and adapts the capacity.
 func (g *gateway) refresh() {
 	g.eject()
-	in := route.Input{Zone: g.zone, Zones: g.model.zones, Routing: g.model.routing(), Now: g.model.clock()}
+	in := route.Input{
+		Zone: g.zone, Zones: g.model.zones, Routing: g.model.routing(), Now: g.model.clock(), Index: g.index,
+	}
 	slots := 0
 	for _, e := range g.model.engines {
 		s := g.servers[e.server.ID]
@@ -206,6 +213,7 @@
 func (j *job) first(attempt int) {
 	if j.firstToken == 0 && j.attempt == attempt {
 		j.firstToken = j.model.now
+		j.gateway.builders[j.server.server.ID].Added(j.chain...)
 		j.model.result.first(j)
 	}
 }
