Demonstration as processes; explain over gateways; servers whose state is old are asked

A gateway whose agent is cut off from the observers of a server held an old state in a young view. The age of each server's state decides now; seen red in TestStaleViewAsksServer/agent_cut_off before.

--- a/internal/agent/handle.go
+++ b/internal/agent/handle.go
@@ -29,6 +29,8 @@
 		return ack, nil
 	case *pb.Request_Status:
 		return &pb.Response{Body: &pb.Response_Status{Status: a.status()}}, nil
+	case *pb.Request_Explain:
+		return a.handleExplain(ctx, body.Explain)
 	case *pb.Request_Drain:
 		return a.handleDrain(ctx, body.Drain)
 	default:
--- a/internal/gateway/chat_test.go
+++ b/internal/gateway/chat_test.go
@@ -145,13 +145,29 @@
 	}
 }
 
-// TestStaleViewAsksServer lets the agent fall silent while a server leaves.
+// TestStaleViewAsksServer lets a server leave while the agent is silent, and
+// while the agent is cut off from those who observe the server.
 func TestStaleViewAsksServer(t *testing.T) {
+	t.Run("agent silent", func(t *testing.T) {
+		testStaleView(t, func(y *yard) {
+			g := y.gateways[0]
+			old := *g.keeper.load()
+			old.receivedAt = time.Now().Add(-time.Minute)
+			g.keeper.current.Store(&old)
+		})
+	})
+	t.Run("agent cut off", func(t *testing.T) {
+		testStaleView(t, func(y *yard) {
+			y.states[0].AgeMs = 60_000
+			y.gateways[0].keeper.current.Store(nil)
+			y.push()
+		})
+	})
+}
+
+func testStaleView(t *testing.T, grow func(*yard)) {
 	y := newYard(t, 2, 0, 1, quickEngine)
-	g := y.gateways[0]
-	old := *g.keeper.load()
-	old.receivedAt = time.Now().Add(-time.Minute)
-	g.keeper.current.Store(&old)
+	grow(y)
 	y.engines[0].Reclaim(time.Minute)
 	for i := range 10 {
 		prompt := strings.Repeat("q", i+1)
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// defaultStaleAfter is the age of the picture after which servers are
-	// asked before use. It is below the bound on new work for leaving servers.
-	defaultStaleAfter = 2 * time.Second
+	// defaultStaleAfter is the age of what is known of a server after which it
+	// is asked before use: the bound on new work for leaving servers.
+	defaultStaleAfter = 3 * time.Second
 	// probeValidity is how long a server's own word that it serves is believed.
 	probeValidity = time.Second
 )
@@ -25,8 +25,9 @@
 	Lifecycle   string `json:"lifecycle"`
 }
 
-// confirm asks a server whether it serves when the picture is too old to tell.
-// An agent that is dead or frozen thus stops nothing and hides nothing.
+// confirm asks a server whether it serves when what is known of it is too old
+// to tell. An agent that is dead, frozen or cut off from its peers thus stops
+// nothing and hides nothing.
 func (g *Gateway) confirm(ctx context.Context, s *route.Server) error {
 	p := g.keeper.load()
 	staleAfter := p.cfg.Routing.StaleAfter
@@ -35,7 +36,7 @@
 	}
 	now := time.Now()
 	track := g.tracker.server(s.ID)
-	if now.Sub(p.receivedAt) < staleAfter || now.UnixNano()-track.probedAt.Load() < int64(probeValidity) {
+	if now.Sub(p.receivedAt) < staleAfter && now.Sub(s.State.Load.At) < staleAfter || now.UnixNano()-track.probedAt.Load() < int64(probeValidity) {
 		return nil
 	}
 	staleProbesTotal.Inc()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -226,8 +226,22 @@
 	return config.Workspace{}
 }
 
-// defaultSlots is assumed for servers that have not reported their slots yet.
-const defaultSlots = 8
+// Slots assumed for servers that report none.
+const (
+	defaultEngineSlots  = 8
+	defaultServiceSlots = 128
+)
+
+func slotsOf(s machine.Server, state machine.State) int {
+	switch {
+	case state.Load.Slots > 0:
+		return state.Load.Slots
+	case s.Kind == machine.Service:
+		return defaultServiceSlots
+	default:
+		return defaultEngineSlots
+	}
+}
 
 // slotShare returns the requests that this gateway may run at once on a pool.
 func slotShare(p *picture, pool string) int {
@@ -237,19 +251,12 @@
 		if s.Pool != pool || state.Lifecycle > machine.Serving || state.Lifecycle == machine.Starting {
 			continue
 		}
-		slots += max(state.Load.Slots, defaultSlots*boolToInt(state.Load.Slots == 0))
+		slots += slotsOf(s, state)
 	}
 	share := float64(slots) / float64(max(1, p.gateways)) * shareSlack
 	return max(1, int(share))
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // stop refuses new work, lets accepted requests finish within the grace
 // period, tells the streams that remain to reconnect, and closes.
 func (g *Gateway) stop(app *fiber.App) error {
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -41,6 +41,9 @@
 func (g *Group) Run(ctx context.Context) error {
 	defer g.serving.Wait()
 	defer g.closeAll()
+	for _, e := range g.settings.Entries {
+		g.fleet.Add(e.instance(), "", false, nil)
+	}
 	for _, s := range g.settings.Standins {
 		if _, err := g.start(s); err != nil {
 			return err
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -27,6 +27,21 @@
 	Seed      uint64             `yaml:"seed"`
 	Standins  []StandinSettings  `yaml:"standins" validate:"required,min=1,dive"`
 	Telemetry telemetry.Settings `yaml:"telemetry"`
+	// Entries are entry instances' processes that the instance list names; the
+	// stand-ins do not run them.
+	Entries []EntrySettings `yaml:"entries" validate:"dive"`
+}
+
+// EntrySettings are a process of an entry instance in the instance list.
+type EntrySettings struct {
+	ID      string `yaml:"id" validate:"required"`
+	Address string `yaml:"address" validate:"required,hostname_port"`
+	Zone    string `yaml:"zone" validate:"required"`
+	Role    string `yaml:"role" validate:"required,oneof=agent gateway"`
+}
+
+func (s EntrySettings) instance() Instance {
+	return Instance{ID: s.ID, Kind: "entry", Address: s.Address, Zone: s.Zone, Role: s.Role}
 }
 
 // StandinSettings describe one stand-in. Keys that do not concern its kind
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -10,14 +10,15 @@
 fi
 mkdir -p "$RUN"
 names=""
-for z in $ZONES; do names="$names gateway-$z agent-$z"; done
-bin/kumquatctl keys dev --dir "$RUN/keys" $names ctl
+for z in $ZONES; do names="$names -n gateway-$z -n agent-$z"; done
+ctl="bin/kumquatctl -c deploy/demo/settings/kumquatctl.yaml"
+$ctl keys dev "$RUN/keys" $names
 start standin bin/kumquat-standin -c deploy/demo/settings/standin.yaml
 await http://127.0.0.1:9000/_counts
-bin/kumquatctl import deploy/demo/inventory.csv
-for document in zones rules/fleet rules/demo; do
-  bin/kumquatctl rules apply "$document" "deploy/demo/$document.yaml"
-done
+$ctl rules apply --force zones deploy/demo/zones.yaml
+$ctl import deploy/demo/inventory.csv
+$ctl rules apply --force rules/fleet deploy/demo/rules/fleet.yaml
+$ctl rules apply --force rules/demo deploy/demo/rules/demo.yaml
 for z in $ZONES; do
   start "agent-$z" bin/kumquat-agent -c "deploy/demo/settings/agent-$z.yaml"
   start "gateway-$z" bin/kumquat-gateway -c "deploy/demo/settings/gateway-$z.yaml"
