--- /dev/null
+++ b/test/fleet/fleet.go
@@ -0,0 +1,238 @@
+// Package fleet runs many agents in one process, over real TLS sessions,
+// against small stand-ins of servers, gateways and platform. The slopes of
+// docs/CAPACITY.md and the failure tests of the agent are made with it.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/agent"
+	"kumquatyard/internal/config"
+	"kumquatyard/internal/configstore"
+	"kumquatyard/internal/link"
+	"kumquatyard/internal/platform"
+	"kumquatyard/internal/standin"
+)
+
+const (
+	platformTimeout = 2 * time.Second
+	applyTimeout    = 10 * time.Second
+)
+
+// Options are the size and the behaviour of a fleet.
+type Options struct {
+	// KeyDir receives the development keys.
+	KeyDir string
+	// Zones are spread over Regions in turn.
+	Zones, Regions int
+	// NodesPerZone and ServersPerZone are the same for each zone.
+	NodesPerZone, ServersPerZone int
+	Intervals                    agent.Intervals
+	// Calm servers report the same load at each poll; others a new one.
+	Calm bool
+	// HashesPerPoll is the number of cache blocks added between two polls.
+	HashesPerPoll int
+}
+
+// Fleet is a set of running agents.
+type Fleet struct {
+	Nodes    []*Node
+	Servers  *Servers
+	Gateways *Gateways
+	List     *List
+	KV       *standin.KV
+	Writer   *configstore.Writer
+
+	options   Options
+	kvAddress string
+	log       *logrus.Entry
+	running   conc.WaitGroup
+	cancel    context.CancelFunc
+	ctx       context.Context
+	stops     []func()
+}
+
+// Start writes a configuration and starts all agents.
+func Start(o Options) (*Fleet, error) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{options: o, log: logrus.NewEntry(logger), ctx: ctx, cancel: cancel, List: &List{}}
+	if err := f.start(); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start() (err error) {
+	if err := link.WriteDevelopmentKeys(f.options.KeyDir, []string{"agent", "gateway"}, time.Now()); err != nil {
+		return err
+	}
+	if err := f.startKV(); err != nil {
+		return err
+	}
+	if f.Servers, err = startServers(f.options); err != nil {
+		return err
+	}
+	f.stops = append(f.stops, f.Servers.stop)
+	if err := f.writeConfig(); err != nil {
+		return err
+	}
+	if f.Gateways, err = f.startGateways(); err != nil {
+		return err
+	}
+	return f.startNodes()
+}
+
+func (f *Fleet) startKV() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.KV = standin.NewKV(standin.Options{Seed: 1})
+	f.running.Go(func() { _ = f.KV.Serve(listener) })
+	f.stops = append(f.stops, f.KV.Close)
+	f.kvAddress = listener.Addr().String()
+	f.Writer = configstore.NewWriter(platform.NewKVClient(f.kvAddress, platformTimeout))
+	return nil
+}
+
+// ZoneName returns the name of the i-th zone.
+func ZoneName(i int) string { return fmt.Sprintf("z%02d", i) }
+
+// ServerName returns the id of the j-th server of the i-th zone.
+func ServerName(i, j int) string { return fmt.Sprintf("srv-%02d-%03d", i, j) }
+
+func (f *Fleet) writeConfig() error {
+	puts := map[string][]byte{}
+	var zones strings.Builder
+	zones.WriteString("zones:\n")
+	for i := range f.options.Zones {
+		fmt.Fprintf(&zones, "  - {name: %s, region: r%d}\n", ZoneName(i), i%max(1, f.options.Regions))
+		var inventory strings.Builder
+		inventory.WriteString("servers:\n")
+		for j := range f.options.ServersPerZone {
+			fmt.Fprintf(&inventory, "  - {id: %s, address: %q, kind: engine, pool: chat, vendor: v, class: c, price_per_hour: 1, models: [m]}\n",
+				ServerName(i, j), f.Servers.address(i, j))
+		}
+		puts[config.InventoryPrefix+ZoneName(i)] = []byte(inventory.String())
+	}
+	puts[config.ZonesDocument] = []byte(zones.String())
+	return f.Apply(config.Change{ID: "start", Puts: puts})
+}
+
+// Apply makes a change of the configuration.
+func (f *Fleet) Apply(change config.Change) error {
+	ctx, cancel := context.WithTimeout(f.ctx, applyTimeout)
+	defer cancel()
+	result, err := f.Writer.Apply(ctx, change)
+	if err != nil {
+		return err
+	}
+	if result.Outcome != configstore.Accepted {
+		return fmt.Errorf("change %s: %v %v", change.ID, result.Outcome, result.Problems)
+	}
+	return nil
+}
+
+func (f *Fleet) linkSettings(name, address string, traffic *link.Traffic) link.Settings {
+	return link.Settings{
+		Listen:   address,
+		CertFile: filepath.Join(f.options.KeyDir, name+".pem"),
+		KeyFile:  filepath.Join(f.options.KeyDir, name+"-key.pem"),
+		CAFile:   filepath.Join(f.options.KeyDir, "ca.pem"),
+		Traffic:  traffic,
+	}
+}
+
+// startNodes lists all nodes before the first one starts.
+func (f *Fleet) startNodes() error {
+	for i := range f.options.Zones {
+		for j := range f.options.NodesPerZone {
+			n, err := f.newNode(i, j)
+			if err != nil {
+				return err
+			}
+			f.Nodes = append(f.Nodes, n)
+			f.List.add(platform.Instance{ID: n.ID, Kind: "entry", Address: n.Address, Zone: n.Zone, Role: "agent", State: "live"})
+		}
+	}
+	for _, n := range f.Nodes {
+		n.run()
+	}
+	return nil
+}
+
+// Stop ends everything.
+func (f *Fleet) Stop() {
+	var nodes conc.WaitGroup
+	for _, n := range f.Nodes {
+		nodes.Go(n.Stop)
+	}
+	nodes.Wait()
+	f.cancel()
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.running.Wait()
+}
+
+// Await waits until done is true for all nodes and reports whether it was
+// before the limit.
+func (f *Fleet) Await(limit time.Duration, done func(n *Node) bool) bool {
+	end := time.Now().Add(limit)
+	for time.Now().Before(end) {
+		all := true
+		for _, n := range f.Nodes {
+			all = all && done(n)
+		}
+		if all {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+// List is the platform's list of instances, as stale as a test wants it.
+type List struct {
+	mu      sync.Mutex
+	entries []platform.Instance
+}
+
+func (l *List) add(i platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = append(l.entries, i)
+}
+
+// Put adds an entry or replaces the one with the same id.
+func (l *List) Put(i platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for at := range l.entries {
+		if l.entries[at].ID == i.ID {
+			l.entries[at] = i
+			return
+		}
+	}
+	l.entries = append(l.entries, i)
+}
+
+// List implements agent.InstanceList.
+func (l *List) List(context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.Instance(nil), l.entries...), nil
+}
