--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -32,7 +32,9 @@
 	t := table.NewWriter()
 	t.SetStyle(table.StyleLight)
 	t.SetTitle(title)
-	t.AppendHeader(header)
+	if len(header) > 0 {
+		t.AppendHeader(header)
+	}
 	return t
 }
 
