Claim shards at agents: commits, forwarding, takeover, hand-over

claimshard.Owner serves claims for the shards it owns and sends the others to their owners over the link, one hop. Who tries to own a shard comes from rendezvous hashing over the live agents; the compare-and-swap decides.

--- a/internal/claim/request.go
+++ b/internal/claim/request.go
@@ -230,6 +230,14 @@
 	s.abandon(now, it)
 }
 
+// StopWaiting answers a claim that waits for a run in progress. Any other
+// claim stays.
+func (s *Shard) StopWaiting(now time.Time, ticket uint64) {
+	if it := s.tickets[ticket]; it != nil && it.place == inWaiters {
+		s.GiveUp(now, ticket)
+	}
+}
+
 func (s *Shard) abandon(now time.Time, it *item) {
 	switch it.place {
 	case inHeld:
--- /dev/null
+++ b/internal/claimshard/worker.go
@@ -0,0 +1,228 @@
+package claimshard
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/claim"
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/platform"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// worker runs one shard: one loop changes the shard's state, at most one
+// key-value call is in flight beside it.
+type worker struct {
+	owner  *Owner
+	number int
+	shard  *claim.Shard
+	events chan func(now time.Time)
+	// results has room for the only call in flight.
+	results chan claim.Result
+	// replies are the channels of the tickets; each has room for its reply.
+	replies map[uint64]chan claim.Reply
+	calls   conc.WaitGroup
+
+	// owning and active mirror the shard's state for other goroutines.
+	owning    atomic.Bool
+	active    atomic.Bool
+	takeovers uint64
+
+	// seen is the view that the shard was told, tried is when it was last asked
+	// to own itself; both belong to the goroutine that follows the membership.
+	seen  *view
+	tried time.Time
+}
+
+func newWorker(o *Owner, number int) *worker {
+	return &worker{
+		owner:   o,
+		number:  number,
+		shard:   claim.NewShard(number, claim.OwnerOf(o.opts.Self), o.opts.Self.GetAddress(), o.opts.Limits),
+		events:  make(chan func(time.Time), 64),
+		results: make(chan claim.Result, 1),
+		replies: map[uint64]chan claim.Reply{},
+	}
+}
+
+func (w *worker) run(ctx context.Context) {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	defer w.calls.Wait()
+	for {
+		wake := w.step(ctx, time.Now())
+		if wake.IsZero() {
+			timer.Stop()
+		} else {
+			timer.Reset(time.Until(wake))
+		}
+		select {
+		case event := <-w.events:
+			event(time.Now())
+		case result := <-w.results:
+			w.shard.Done(time.Now(), result)
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// step starts the next call and hands out the replies that are due.
+func (w *worker) step(ctx context.Context, now time.Time) (wake time.Time) {
+	op, ok, wake := w.shard.Next(now)
+	if ok {
+		w.calls.Go(func() { w.results <- w.owner.perform(ctx, op) })
+	}
+	for _, r := range w.shard.Replies() {
+		if ch := w.replies[r.Ticket]; ch != nil {
+			delete(w.replies, r.Ticket)
+			ch <- r
+		}
+	}
+	w.publish()
+	return wake
+}
+
+func (w *worker) publish() {
+	w.active.Store(!w.shard.Idle())
+	if owning := w.shard.Owning(); w.owning.Swap(owning) != owning {
+		countOwned(owning)
+	}
+	if n := w.shard.Takeovers(); n != w.takeovers {
+		w.takeovers = n
+		takeovers.Inc()
+		w.owner.opts.Log.WithField("shard", w.number).WithField("keys", w.shard.Entries()).Info("took over a claim shard")
+	}
+}
+
+// send has event run by the loop; it reports false when the loop has ended.
+func (w *worker) send(event func(now time.Time)) bool {
+	select {
+	case w.events <- event:
+		return true
+	case <-w.owner.stopped:
+		return false
+	}
+}
+
+// follow tells the shard who is live and lets it try to own or hand over.
+func (w *worker) follow(now time.Time, v *view, preferred *pb.Peer, since time.Time) {
+	wanted := w.owner.self(preferred)
+	due := wanted && !w.active.Load() && now.Sub(w.tried) >= acquireInterval
+	leave := !wanted && preferred != nil && w.owning.Load() && now.Sub(since) >= rebalanceAfter
+	if v == w.seen && !due && !leave {
+		return
+	}
+	w.seen = v
+	if due {
+		w.tried = now
+	}
+	w.send(func(now time.Time) {
+		w.shard.SetLive(v.owners)
+		if due {
+			w.shard.Acquire(now)
+		}
+		if leave {
+			w.shard.Release()
+		}
+	})
+}
+
+// release hands the shard over and returns when that is done, or after timeout.
+func (w *worker) release(timeout time.Duration) {
+	w.send(func(time.Time) { w.shard.Release() })
+	deadline := time.Now().Add(timeout)
+	idle := make(chan bool, 1)
+	for time.Now().Before(deadline) {
+		w.send(func(time.Time) { idle <- w.shard.Idle() })
+		if <-idle {
+			return
+		}
+		time.Sleep(releasePoll)
+	}
+}
+
+const releasePoll = 5 * time.Millisecond
+
+// submit enters a request into the shard and waits for its reply. A claim that
+// waits for a run in progress waits no longer than wait.
+func (w *worker) submit(ctx context.Context, wait time.Duration, enter func(now time.Time, ticket uint64)) (claim.Reply, error) {
+	ticket, ch := w.owner.tickets.Add(1), make(chan claim.Reply, 1)
+	if !w.send(func(now time.Time) { w.enter(now, ticket, ch, enter) }) {
+		return claim.Reply{}, errStopped
+	}
+	waited := time.NewTimer(wait)
+	defer waited.Stop()
+	done := ctx.Done()
+	for {
+		select {
+		case r := <-ch:
+			return r, nil
+		case <-waited.C:
+			w.send(func(now time.Time) { w.shard.StopWaiting(now, ticket) })
+		case <-done:
+			done = nil
+			w.send(func(now time.Time) { w.shard.GiveUp(now, ticket) })
+		case <-w.owner.stopped:
+			return claim.Reply{}, &contract.Error{
+				Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun,
+				Message: "the agent stopped before the claim was decided", RetryAfter: time.Second,
+			}
+		}
+	}
+}
+
+func (w *worker) enter(now time.Time, ticket uint64, ch chan claim.Reply, enter func(time.Time, uint64)) {
+	w.replies[ticket] = ch
+	if v := w.owner.view.Load(); w.owner.self(v.preferred[w.number]) && !w.owner.stopping.Load() {
+		w.shard.Acquire(now)
+	}
+	enter(now, ticket)
+}
+
+// perform makes one key-value call.
+func (o *Owner) perform(ctx context.Context, op claim.Op) claim.Result {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	start := time.Now()
+	result, err := o.call(ctx, op)
+	countCall(op, result, err, time.Since(start))
+	if err == nil {
+		return result
+	}
+	o.opts.Log.WithError(err).WithField("key", op.Key).Debug("key-value call failed")
+	if op.Kind == claim.OpSwap && contract.VerdictOf(err) != contract.NotRun {
+		return claim.Result{Effect: claim.Unknown}
+	}
+	return claim.Result{Effect: claim.Failed}
+}
+
+func (o *Owner) call(ctx context.Context, op claim.Op) (claim.Result, error) {
+	kv := o.opts.KV
+	switch op.Kind {
+	case claim.OpGet:
+		e, err := kv.Get(ctx, op.Key)
+		return claim.Result{Entries: entries(e)}, err
+	case claim.OpList:
+		found, err := kv.List(ctx, op.Key)
+		return claim.Result{Entries: entries(found...)}, err
+	case claim.OpDelete:
+		gone, err := kv.Delete(ctx, op.Key, op.Index)
+		return claim.Result{Swapped: gone}, err
+	default:
+		index, swapped, err := kv.CompareAndSwap(ctx, op.Key, op.Value, op.Index)
+		return claim.Result{Index: index, Swapped: swapped}, err
+	}
+}
+
+func entries(found ...platform.Entry) []claim.Entry {
+	out := make([]claim.Entry, len(found))
+	for i, e := range found {
+		out[i] = claim.Entry{Key: e.Key, Value: e.Value, Index: e.ModifyIndex}
+	}
+	return out
+}
