agent: serves claims; settings of claim shards

The agent's LiveAgents choose who tries to own a shard. A stopping agent hands its shards over first and passes claims that still arrive on to its peers.

--- a/cmd/kumquat-agent/main.go
+++ b/cmd/kumquat-agent/main.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"kumquatyard/internal/agent"
+	"kumquatyard/internal/claimshard"
 	"kumquatyard/internal/configstore"
 	"kumquatyard/internal/link"
 	"kumquatyard/internal/platform"
@@ -44,8 +45,9 @@
 	}
 	defer calls.Close()
 	var a *agent.Agent
+	kv := platform.NewKVClient(s.KV, platformTimeout)
 	keeper := configstore.NewKeeper(configstore.Options{
-		KV: platform.NewKVClient(s.KV, platformTimeout), Caller: calls, Log: log,
+		KV: kv, Caller: calls, Log: log,
 		Peers: func() []string { return a.PeerAddresses() },
 	})
 	options := agent.Options{
@@ -56,6 +58,9 @@
 		options.Notices = platform.NewCloud(s.Cloud, platformTimeout)
 	}
 	a = agent.New(options)
+	a.Add(claimshard.New(claimshard.Options{
+		Self: a.Self(), Settings: s.Claims, KV: kv, Caller: calls, Live: a.LiveAgents, Log: log,
+	}))
 	return serve(ctx, s, a, keeper, log)
 }
 
--- /dev/null
+++ b/internal/agent/live.go
@@ -0,0 +1,30 @@
+package agent
+
+import (
+	"time"
+
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// Self returns this process as its peers know it.
+func (a *Agent) Self() *pb.Peer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return peerToProto(a.table.Self())
+}
+
+// LiveAgents returns the live agents in scope, itself included unless it leaves.
+func (a *Agent) LiveAgents() []*pb.Peer {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*pb.Peer
+	for _, id := range a.table.LiveInScope(now) {
+		if id == a.settings.ID {
+			out = append(out, peerToProto(a.table.Self()))
+		} else if m, ok := a.table.Get(id, now); ok {
+			out = append(out, peerToProto(m.Peer))
+		}
+	}
+	return out
+}
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"kumquatyard/internal/claimshard"
 	"kumquatyard/internal/link"
 	"kumquatyard/internal/telemetry"
 )
@@ -26,6 +27,8 @@
 
 	Telemetry telemetry.Settings `yaml:"telemetry"`
 	Intervals Intervals          `yaml:"intervals"`
+	// Claims must be the same at all agents.
+	Claims claimshard.Settings `yaml:"claims"`
 }
 
 // Intervals are the mean times between the agent's periodic actions; each is
@@ -47,7 +50,7 @@
 
 // DefaultSettings returns the values of keys that a settings file leaves out.
 func DefaultSettings() Settings {
-	return Settings{Intervals: Intervals{
+	return Settings{Claims: claimshard.DefaultSettings(), Intervals: Intervals{
 		Heartbeat: time.Second,
 		Digest:    2 * time.Second,
 		Observe:   time.Second,
--- a/internal/claimshard/fakes_test.go
+++ b/internal/claimshard/fakes_test.go
@@ -141,16 +141,18 @@
 	rng *rand.Rand
 }
 
-func newAgents(s *store, n, shards int, limits claim.Limits, seed uint64, faults float64) *agents {
+func newAgents(s *store, n int, settings Settings, limits claim.Limits, seed uint64, faults float64) *agents {
 	a := &agents{frozen: make([]atomic.Bool, n), cut: faults / 2, rng: rand.New(rand.NewPCG(seed, 0))}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range n {
 		c := &client{store: s, rng: rand.New(rand.NewPCG(seed, uint64(i+1))), faults: faults}
 		a.clients = append(a.clients, c)
-		a.owners = append(a.owners, New(Options{
-			Self: a.peer(i), Shards: shards, KV: c, Caller: a, Live: a.live, Limits: limits, Log: logrus.NewEntry(log),
-		}))
+		o := New(Options{Self: a.peer(i), Settings: settings, KV: c, Caller: a, Live: a.live, Log: logrus.NewEntry(log)})
+		for _, w := range o.workers {
+			w.shard = claim.NewShard(w.number, claim.OwnerOf(a.peer(i)), a.peer(i).GetAddress(), limits)
+		}
+		a.owners = append(a.owners, o)
 	}
 	return a
 }
--- a/internal/claimshard/history_test.go
+++ b/internal/claimshard/history_test.go
@@ -223,7 +223,7 @@
 	const agentCount, gatewayCount, duration = 3, 12, 2500 * time.Millisecond
 	const seed = 7
 	s := newStore()
-	a := newAgents(s, agentCount, 4, historyLimits, seed, 0.15)
+	a := newAgents(s, agentCount, Settings{Shards: 4}, historyLimits, seed, 0.15)
 	ctx, stop := context.WithCancel(t.Context())
 	var running, work conc.WaitGroup
 	for _, o := range a.owners {
--- a/internal/claimshard/owner.go
+++ b/internal/claimshard/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,16 +13,12 @@
 	"github.com/sourcegraph/conc"
 
 	"kumquatyard/internal/claim"
-	"kumquatyard/internal/contract"
 	"kumquatyard/internal/link"
 	"kumquatyard/internal/platform"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
 const (
-	// DefaultShards is the number of shards of both deployments. It is part of
-	// the stored layout: all agents have the same, for good.
-	DefaultShards = 16
 	// membershipInterval is how often the live peers are looked at.
 	membershipInterval = 100 * time.Millisecond
 	// acquireInterval is how often a preferred peer tries to own a shard.
@@ -47,16 +44,14 @@
 // Options configure an Owner.
 type Options struct {
 	// Self is this agent as its peers know it.
-	Self *pb.Peer
-	// Shards is the number of shards, the same at all agents.
-	Shards int
-	KV     KV
-	Caller link.Caller
+	Self     *pb.Peer
+	Settings Settings
+	KV       KV
+	Caller   link.Caller
 	// Live returns the live agents, this one included. It decides who tries to
 	// own a shard, never who may grant.
-	Live   func() []*pb.Peer
-	Limits claim.Limits
-	Log    *logrus.Entry
+	Live func() []*pb.Peer
+	Log  *logrus.Entry
 }
 
 // Owner serves claims at one agent: for the shards that it owns itself, for
@@ -71,6 +66,7 @@
 	tickets   atomic.Uint64
 	stopping  atomic.Bool
 	stopped   chan struct{}
+	limits    claim.Limits
 }
 
 // view is the membership as this agent last saw it.
@@ -84,9 +80,9 @@
 
 // New returns an owner that serves once Run is called.
 func New(o Options) *Owner {
-	owner := &Owner{opts: o, redirects: make([]atomic.Pointer[string], o.Shards), stopped: make(chan struct{})}
-	owner.view.Store(&view{preferred: make([]*pb.Peer, o.Shards), since: make([]time.Time, o.Shards)})
-	for i := range o.Shards {
+	owner := &Owner{opts: o, redirects: make([]atomic.Pointer[string], o.Settings.Shards), stopped: make(chan struct{}), limits: o.Settings.limits()}
+	owner.view.Store(&view{preferred: make([]*pb.Peer, o.Settings.Shards), since: make([]time.Time, o.Settings.Shards)})
+	for i := range o.Settings.Shards {
 		owner.workers = append(owner.workers, newWorker(owner, i))
 	}
 	return owner
@@ -148,7 +144,7 @@
 }
 
 func (o *Owner) newView(last *view, peers []*pb.Peer, now time.Time) *view {
-	v := &view{owners: map[string]bool{}, preferred: make([]*pb.Peer, o.opts.Shards), since: make([]time.Time, o.opts.Shards)}
+	v := &view{owners: map[string]bool{}, preferred: make([]*pb.Peer, o.opts.Settings.Shards), since: make([]time.Time, o.opts.Settings.Shards)}
 	for _, p := range peers {
 		if !p.GetLeaving() {
 			v.owners[claim.OwnerOf(p)] = true
@@ -166,9 +162,12 @@
 // self reports whether p is this agent.
 func (o *Owner) self(p *pb.Peer) bool { return p.GetId() == o.opts.Self.GetId() }
 
-// handOver releases the shards, after which peers own them.
+// handOver releases the shards, after which peers own them and claims that
+// still arrive here go to them.
 func (o *Owner) handOver() {
 	o.stopping.Store(true)
+	others := slices.DeleteFunc(slices.Clone(o.opts.Live()), o.self)
+	o.view.Store(o.newView(o.view.Load(), others, time.Now()))
 	var group conc.WaitGroup
 	for _, w := range o.workers {
 		group.Go(func() { w.release(stopTimeout) })
@@ -186,8 +185,3 @@
 	}
 	return n
 }
-
-var errStopped = &contract.Error{
-	Kind: contract.KindUnavailable, Verdict: contract.NotRun,
-	Message: "the agent is stopping", RetryAfter: time.Second,
-}
--- a/internal/claimshard/serve.go
+++ b/internal/claimshard/serve.go
@@ -43,7 +43,7 @@
 		return nil, invalid("a claim needs a key and a run id")
 	}
 	resp, err := o.serve(ctx, &message{
-		shard:     claim.ShardOf(req.GetKey(), o.opts.Shards),
+		shard:     claim.ShardOf(req.GetKey(), o.opts.Settings.Shards),
 		forwarded: req.GetForwarded(),
 		local:     func(ctx context.Context, w *worker) (*pb.Response, error) { return o.claim(ctx, w, req) },
 		remote: func() *pb.Request {
@@ -63,7 +63,7 @@
 		return nil, invalid("a settlement needs a key, a run id and a verdict")
 	}
 	return o.serve(ctx, &message{
-		shard:     claim.ShardOf(req.GetKey(), o.opts.Shards),
+		shard:     claim.ShardOf(req.GetKey(), o.opts.Settings.Shards),
 		forwarded: req.GetForwarded(),
 		local:     func(ctx context.Context, w *worker) (*pb.Response, error) { return o.settle(ctx, w, req) },
 		remote: func() *pb.Request {
--- /dev/null
+++ b/internal/claimshard/settings.go
@@ -0,0 +1,43 @@
+package claimshard
+
+import (
+	"time"
+
+	"kumquatyard/internal/claim"
+)
+
+// Settings are the claim keys of an agent's settings file.
+type Settings struct {
+	// Shards is part of the stored layout: the same at all agents, for good.
+	Shards int `yaml:"shards" validate:"min=1,max=1024"`
+	// WritesPerSecond bounds the commits of all shards together.
+	WritesPerSecond float64 `yaml:"writes_per_second" validate:"min=1"`
+	// Retention is how long a key is remembered after its claim.
+	Retention time.Duration `yaml:"retention" validate:"min=60000000000"`
+	// SegmentBytes is the size at which a shard opens a new segment.
+	SegmentBytes int `yaml:"segment_bytes" validate:"min=1024,max=262144"`
+	// MaxSegments bounds the memory of a shard; when all of them are younger
+	// than Retention, new keys are refused.
+	MaxSegments int `yaml:"max_segments" validate:"min=4"`
+}
+
+// DefaultSettings suit both deployments and a service of several hundred
+// writes a second.
+func DefaultSettings() Settings {
+	limits := claim.DefaultLimits()
+	return Settings{
+		Shards:          16,
+		WritesPerSecond: 160,
+		Retention:       limits.Retention,
+		SegmentBytes:    limits.SegmentBytes,
+		MaxSegments:     limits.MaxSegments,
+	}
+}
+
+// limits returns the bounds of one shard.
+func (s Settings) limits() claim.Limits {
+	l := claim.DefaultLimits()
+	l.Retention, l.SegmentBytes, l.MaxSegments = s.Retention, s.SegmentBytes, s.MaxSegments
+	l.WritesPerSecond = s.WritesPerSecond / float64(s.Shards)
+	return l
+}
--- a/internal/claimshard/worker.go
+++ b/internal/claimshard/worker.go
@@ -41,7 +41,7 @@
 	return &worker{
 		owner:   o,
 		number:  number,
-		shard:   claim.NewShard(number, claim.OwnerOf(o.opts.Self), o.opts.Self.GetAddress(), o.opts.Limits),
+		shard:   claim.NewShard(number, claim.OwnerOf(o.opts.Self), o.opts.Self.GetAddress(), o.limits),
 		events:  make(chan func(time.Time), 64),
 		results: make(chan claim.Result, 1),
 		replies: map[uint64]chan claim.Reply{},
@@ -153,7 +153,7 @@
 func (w *worker) submit(ctx context.Context, wait time.Duration, enter func(now time.Time, ticket uint64)) (claim.Reply, error) {
 	ticket, ch := w.owner.tickets.Add(1), make(chan claim.Reply, 1)
 	if !w.send(func(now time.Time) { w.enter(now, ticket, ch, enter) }) {
-		return claim.Reply{}, errStopped
+		return claim.Reply{Claim: &pb.ClaimReply{Outcome: pb.ClaimOutcome_CLAIM_OUTCOME_NOT_OWNER}}, nil
 	}
 	waited := time.NewTimer(wait)
 	defer waited.Stop()
