slopes: measure sessions, calls, agents, changes, views and duties

Change: make slopes; sessions wait for their silence by one timer in place of looking four times a second, and send a heartbeat after 1.25 s (silence still found within 2.75 s).

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,10 @@
 .PHONY: down
 down:
 	@bash scripts/down.sh
+
+# Measures the control plane and writes docs/slopes.txt, which docs/CAPACITY.md
+# quotes; about five minutes.
+.PHONY: slopes
+slopes:
+	go build -o $(BIN)/slopes ./test/slopes
+	$(BIN)/slopes --revision "$$(git describe --always --dirty)"
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -13,7 +13,7 @@
 // Timeouts of a session. A connection that goes silent is suspected after
 // heartbeatIdle + suspectAfter and closed closeAfter later, within 3 s in all.
 const (
-	heartbeatIdle = time.Second
+	heartbeatIdle = 1250 * time.Millisecond
 	suspectAfter  = 750 * time.Millisecond
 	closeAfter    = 750 * time.Millisecond
 	// silentAfter closes an accepted connection whose dialer stopped sending.
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -22,8 +22,8 @@
 	redialMax   = time.Second
 	// unusedAfter closes sessions that no call has used.
 	unusedAfter = time.Minute
-	// watchEvery is how often a session's silence is looked at.
-	watchEvery = 250 * time.Millisecond
+	// timerSlack lets a timer fire after the silence it waits for.
+	timerSlack = 10 * time.Millisecond
 )
 
 var (
@@ -208,15 +208,15 @@
 func (p *Pool) watch(peer *peer, s *session) {
 	defer peer.drop(s)
 	defer s.close()
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(heartbeatIdle)
+	defer timer.Stop()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-s.mux.CloseChan():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		if s.unused() > unusedAfter {
 			return
@@ -226,6 +226,7 @@
 			p.log.WithError(errSilent).WithField("address", peer.address).Warn("link session lost")
 			return
 		}
+		timer.Reset(heartbeatIdle - s.conn.silence() + timerSlack)
 	}
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"kumquatyard/internal/link"
 	"kumquatyard/internal/platform"
 	"kumquatyard/internal/standin"
+	pb "kumquatyard/proto/kumquat/v1"
 )
 
 const (
@@ -129,6 +130,7 @@
 		puts[config.InventoryPrefix+ZoneName(i)] = []byte(inventory.String())
 	}
 	puts[config.ZonesDocument] = []byte(zones.String())
+	puts[config.FleetDocument] = []byte("token_keys:\n  - {id: k, secret_hex: " + strings.Repeat("ab", 32) + "}\n")
 	return f.Apply(config.Change{ID: "start", Puts: puts})
 }
 
@@ -236,3 +238,20 @@
 	defer l.mu.Unlock()
 	return append([]platform.Instance(nil), l.entries...), nil
 }
+
+// Bundle returns the configuration as it is stored.
+func (f *Fleet) Bundle() (*pb.ConfigBundle, error) {
+	head, documents, err := f.Writer.Read(f.ctx)
+	if err != nil {
+		return nil, err
+	}
+	data, err := head.Marshal()
+	if err != nil {
+		return nil, err
+	}
+	bundle := &pb.ConfigBundle{Version: head.Version, Head: data}
+	for name, body := range documents {
+		bundle.Documents = append(bundle.Documents, &pb.ConfigDocument{Name: name, Hash: string(head.Documents[name]), Body: body})
+	}
+	return bundle, nil
+}
--- /dev/null
+++ b/test/slopes/main.go
@@ -0,0 +1,81 @@
+// Command slopes measures how the control plane's memory, processor time and
+// traffic grow with the fleet, and writes the tables that docs/CAPACITY.md
+// quotes. It runs many agents in this process over real TLS sessions.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+type section struct {
+	name, title string
+	run         func(out io.Writer) error
+}
+
+var sections = []section{
+	{"sessions", "Idle link sessions", sessionsSweep},
+	{"calls", "Calls over one session, of a claim's size", callsSweep},
+	{"nodes", "Agents of one zone, 190 servers", nodesSweep},
+	{"servers", "Servers of one zone, 23 agents", serversSweep},
+	{"zones", "Zones of as many regions, 4 agents and 8 servers each", zonesSweep},
+	{"changes", "Configuration changes, 23 agents, 190 servers", changesSweep},
+	{"views", "Gateway's view", viewsSweep},
+	{"duties", "Duties held under lease", dutiesSweep},
+	{"sizes", "Today's deployments, the letter's zone and its variants, and 138 agents", sizes},
+}
+
+func main() {
+	out, only, commit := filepath.Join("docs", "slopes.txt"), "", "unknown"
+	flaggy.SetName("slopes")
+	flaggy.String(&out, "o", "out", "file to write")
+	flaggy.String(&only, "s", "sections", "comma-separated sections to run; all by default")
+	flaggy.String(&commit, "r", "revision", "commit to name in the file")
+	flaggy.Parse()
+	if err := measure(out, only, commit); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func measure(path, only, commit string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	writer := io.MultiWriter(file, os.Stdout)
+	header(writer, commit)
+	for _, s := range sections {
+		if only != "" && !strings.Contains(","+only+",", ","+s.name+",") {
+			continue
+		}
+		begin := time.Now()
+		fmt.Fprintf(writer, "\n## %s (%s)\n\n", s.title, s.name)
+		if err := s.run(writer); err != nil {
+			return fmt.Errorf("%s: %w", s.name, err)
+		}
+		fmt.Fprintf(writer, "took %v\n", time.Since(begin).Round(time.Second))
+	}
+	return nil
+}
+
+func header(out io.Writer, commit string) {
+	fmt.Fprintf(out, "# Slopes of the control plane, by `make slopes`\n\n")
+	fmt.Fprintf(out, "machine: %d cores, %s memory, %s %s/%s\n", runtime.NumCPU(), memory(), runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	fmt.Fprintf(out, "commit: %s\n", commit)
+	fmt.Fprintf(out, "bytes are counted at the sockets: TLS records and yamux headers included, TCP and IP headers not\n")
+}
+
+func memory() string {
+	data, _ := os.ReadFile("/proc/meminfo")
+	line, _, _ := strings.Cut(string(data), "\n")
+	return strings.TrimSpace(strings.TrimPrefix(line, "MemTotal:"))
+}
