agent: even share of observed servers, digests every 2.5 s, cache events halved

Change: rendezvous hashing with bounded loads; digests every 2.5 s with suspicion after 4 s; cache events bounded to 500 B/s received and read every other poll.

--- a/internal/agent/digest.go
+++ b/internal/agent/digest.go
@@ -15,7 +15,7 @@
 const (
 	// cacheBytesPerSecond is what a node receives of other observers' cache
 	// events; each observer takes an equal part of it.
-	cacheBytesPerSecond = 1000
+	cacheBytesPerSecond = 500
 	hashBytes           = 8
 	// replicaLifetime is how long the states of a silent observer are kept.
 	replicaLifetime = 5 * time.Minute
--- a/internal/agent/observer.go
+++ b/internal/agent/observer.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,7 +27,9 @@
 	// a server counts as unreachable.
 	failuresToUnreachable = 2
 	maxPolls              = 64
-	maxAnswerBytes        = 1 << 20
+	// cacheEvery is the shortest time between reads of a server's cache events.
+	cacheEvery     = 1900 * time.Millisecond
+	maxAnswerBytes = 1 << 20
 	// secondObserverFactor stretches the polls of a server's second observer.
 	secondObserverFactor = 2
 	// staleAfter is the age of a load after which the second observer reports
@@ -45,8 +49,9 @@
 	next     time.Time
 	failures int
 	polling  bool
-	// cacheSeq is the last cache event read.
+	// cacheSeq is the last cache event read, at cacheAt.
 	cacheSeq uint64
+	cacheAt  time.Time
 }
 
 // observer polls the agent's share of the servers over HTTP.
@@ -55,6 +60,10 @@
 	every  time.Duration
 	client *fasthttp.Client
 
+	// The last assignment and its inputs, used by one goroutine.
+	lastIDs, lastLive []string
+	assigned          map[string]member.Assignment
+
 	mu      sync.Mutex
 	targets map[machine.ID]*target
 }
@@ -74,21 +83,26 @@
 // assign sets the agent's share of servers. New targets start at a random part
 // of the interval.
 func (o *observer) assign(servers map[machine.ID]machine.Server, live []string) {
+	ids := make([]string, 0, len(servers))
+	for id := range servers {
+		ids = append(ids, string(id))
+	}
+	assigned := o.assignments(ids, live)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	self := o.agent.settings.ID
 	for id, server := range servers {
-		observers := member.Observers(string(id), live)
-		if !contains(observers, self) {
+		a := assigned[string(id)]
+		if a.First != self && a.Second != self {
 			o.drop(id)
 			continue
 		}
 		t, known := o.targets[id]
 		if !known {
-			t = &target{next: time.Now().Add(jittered(o.every) - o.every)}
+			t = &target{next: time.Now().Add(rand.N(o.every))}
 			o.targets[id] = t
 		}
-		t.server, t.first = server, observers[0] == self
+		t.server, t.first = server, a.First == self
 	}
 	for id := range o.targets {
 		if _, ok := servers[id]; !ok {
@@ -97,6 +111,17 @@
 	}
 }
 
+// assignments returns who observes what; the last result is kept while its
+// inputs stay the same.
+func (o *observer) assignments(ids, live []string) map[string]member.Assignment {
+	slices.Sort(ids)
+	if !slices.Equal(ids, o.lastIDs) || !slices.Equal(live, o.lastLive) {
+		o.lastIDs, o.lastLive = ids, live
+		o.assigned = member.Assign(ids, live)
+	}
+	return o.assigned
+}
+
 // drop gives up a server; the agent's mutex is held.
 func (o *observer) drop(id machine.ID) {
 	if _, known := o.targets[id]; known {
@@ -147,12 +172,16 @@
 func (o *observer) poll(t *target) {
 	o.mu.Lock()
 	server, first, seq := t.server, t.first, t.cacheSeq
-	o.mu.Unlock()
 	start := time.Now()
+	withCache := first && server.Kind == machine.Engine && start.Sub(t.cacheAt) >= cacheEvery
+	if withCache {
+		t.cacheAt = start
+	}
+	o.mu.Unlock()
 	report, err := o.readState(server.Address)
 	pollSeconds.UpdateDuration(start)
 	var events cacheAnswer
-	if err == nil && first && server.Kind == machine.Engine {
+	if err == nil && withCache {
 		events, _ = o.readCache(server.Address, seq)
 	}
 	o.mu.Lock()
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -49,7 +49,7 @@
 func DefaultSettings() Settings {
 	return Settings{Intervals: Intervals{
 		Heartbeat: time.Second,
-		Digest:    2 * time.Second,
+		Digest:    2500 * time.Millisecond,
 		Observe:   time.Second,
 		View:      time.Second,
 		Summary:   5 * time.Second,
--- a/internal/member/choose.go
+++ b/internal/member/choose.go
@@ -10,8 +10,6 @@
 
 // Numbers of members that share a job.
 const (
-	// ObserversPerServer watch each server; the first reports its load.
-	ObserversPerServer = 2
 	// WatchersPerZone hold a watch on the key-value service.
 	WatchersPerZone = 2
 	// HeartbeatFanOut is the number of peers that a member sends heartbeats to,
@@ -40,9 +38,43 @@
 	return out
 }
 
-// Observers returns who observes a server, out of the live ids of its zone.
-func Observers(server string, live []string) []string {
-	return Rendezvous("observe/"+server, live, ObserversPerServer)
+// Assignment names the observers of a server: First reports its load, Second
+// takes over when First falls silent. Second is empty with one live member.
+type Assignment struct{ First, Second string }
+
+// Assign returns who observes each server, out of the live ids: rendezvous
+// hashing with bounded loads, so that no member observes more than its even
+// share of either kind. Members with the same view compute the same result.
+func Assign(servers, live []string) map[string]Assignment {
+	share := (len(servers) + max(1, len(live)) - 1) / max(1, len(live))
+	first, second := make(map[string]int, len(live)), make(map[string]int, len(live))
+	out := make(map[string]Assignment, len(servers))
+	for _, server := range slices.Sorted(slices.Values(servers)) {
+		ranked := Rendezvous("observe/"+server, live, len(live))
+		var a Assignment
+		a.First = take(ranked, "", first, share)
+		a.Second = take(ranked, a.First, second, share)
+		out[server] = a
+	}
+	return out
+}
+
+// take returns the first of ranked with room below share, other than except.
+func take(ranked []string, except string, taken map[string]int, share int) string {
+	last := ""
+	for _, id := range ranked {
+		if id == except {
+			continue
+		}
+		last = id
+		if taken[id] < share {
+			break
+		}
+	}
+	if last != "" {
+		taken[last]++
+	}
+	return last
 }
 
 // Watchers returns who watches the key-value service for zone.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,9 +66,10 @@
 	HearsayLifetime time.Duration
 }
 
-// DefaultLimits suspect a member after 3 s.
+// DefaultLimits suspect a member that missed its digests and heartbeats, which
+// come at least every 2.75 s.
 var DefaultLimits = Limits{
-	SuspectAfter: 3 * time.Second, DeadAfter: 10 * time.Second,
+	SuspectAfter: 4 * time.Second, DeadAfter: 10 * time.Second,
 	ForgetAfter: 10 * time.Minute, HearsayLifetime: 2 * time.Minute,
 }
 
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -38,7 +39,17 @@
 	flaggy.String(&out, "o", "out", "file to write")
 	flaggy.String(&only, "s", "sections", "comma-separated sections to run; all by default")
 	flaggy.String(&commit, "r", "revision", "commit to name in the file")
+	profile := ""
+	flaggy.String(&profile, "p", "profile", "file for a CPU profile")
 	flaggy.Parse()
+	if profile != "" {
+		stop, err := startProfile(profile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		defer stop()
+	}
 	if err := measure(out, only, commit); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -79,3 +90,17 @@
 	line, _, _ := strings.Cut(string(data), "\n")
 	return strings.TrimSpace(strings.TrimPrefix(line, "MemTotal:"))
 }
+
+func startProfile(path string) (stop func(), err error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
