--- /dev/null
+++ b/internal/load/cost.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/platform"
+	"kumquatyard/internal/standin"
+)
+
+// meterInterval is the time between two readings of the instance list.
+const meterInterval = 250 * time.Millisecond
+
+// prices maps instance ids to prices an hour.
+type prices map[string]float64
+
+// readPrices reads the columns id and price_per_hour of an inventory.
+func readPrices(file string) (prices, error) {
+	if file == "" {
+		return nil, nil
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, fmt.Errorf("inventory: %w", err)
+	}
+	defer f.Close()
+	rows, err := csv.NewReader(f).ReadAll()
+	if err != nil {
+		return nil, fmt.Errorf("inventory %s: %w", file, err)
+	}
+	if len(rows) == 0 {
+		return nil, fmt.Errorf("inventory %s: is empty", file)
+	}
+	id, price := slices.Index(rows[0], "id"), slices.Index(rows[0], "price_per_hour")
+	if id < 0 || price < 0 {
+		return nil, fmt.Errorf("inventory %s: has no columns id and price_per_hour", file)
+	}
+	all := make(prices)
+	for i, row := range rows[1:] {
+		value, err := strconv.ParseFloat(strings.TrimSpace(row[price]), 64)
+		if err != nil {
+			return nil, fmt.Errorf("inventory %s:%d: price_per_hour: %w", file, i+2, err)
+		}
+		all[row[id]] = value
+	}
+	return all, nil
+}
+
+// perHour returns the price of the listed instances. Instances that the cloud
+// started are not in the inventory and cost started each.
+func (p prices) perHour(list []platform.Instance, started float64) float64 {
+	total := 0.0
+	for _, i := range list {
+		price, known := p[i.ID]
+		if !known {
+			price = started
+		}
+		total += price
+	}
+	return total
+}
+
+// startMeter adds up what the instances cost until the returned function is
+// called, which returns the sum.
+func (r *Runner) startMeter(ctx context.Context, ctl *control) func() float64 {
+	list := r.instanceList(ctl)
+	if list == "" || r.prices == nil {
+		return func() float64 { return 0 }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var meter conc.WaitGroup
+	cost := 0.0
+	meter.Go(func() {
+		last, perHour := time.Now(), 0.0
+		for sleepUntil(ctx, last.Add(meterInterval)) == nil {
+			var instances []platform.Instance
+			// A list that cannot be read leaves the price as it was.
+			if _, err := ctl.get("/"+list+"/v1/instances", &instances); err == nil {
+				perHour = r.prices.perHour(servers(instances), r.scenario.StartedPrice)
+			}
+			now := time.Now()
+			cost += perHour * now.Sub(last).Hours()
+			last = now
+		}
+	})
+	return func() float64 {
+		cancel()
+		meter.Wait()
+		return cost
+	}
+}
+
+// servers leaves out the entry instances, which all policies need alike.
+func servers(all []platform.Instance) []platform.Instance {
+	return slices.DeleteFunc(all, func(i platform.Instance) bool {
+		return i.Kind != standin.KindEngine && i.Kind != standin.KindService
+	})
+}
+
+// instanceList returns the id of the stand-in that lists the instances.
+func (r *Runner) instanceList(ctl *control) string {
+	if ctl == nil {
+		return ""
+	}
+	kinds, err := ctl.ids()
+	if err != nil {
+		return ""
+	}
+	for id, kind := range kinds {
+		if kind == standin.KindInstances {
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -59,9 +59,9 @@
 			Name: "question", Kind: Chat, Weight: 45, Path: chatPath,
 			Document: Range{200, 600}, Turn: Range{10, 60}, Output: Range{20, 80}, Sessions: 20, Revisions: 4,
 		},
-		{Name: "lookup", Kind: Call, Weight: 30, Method: http.MethodGet, Path: "/venues"},
-		{Name: "booking", Kind: Call, Weight: 10, Method: http.MethodPost, Path: "/bookings", Keyed: true},
-		{Name: "reminder", Kind: Call, Weight: 5, Method: http.MethodPost, Path: "/reminders", Keyed: true},
+		{Name: "lookup", Kind: Call, Weight: 30, Method: http.MethodGet, Path: "/meetwell/venues"},
+		{Name: "booking", Kind: Call, Weight: 10, Method: http.MethodPost, Path: "/meetwell/bookings", Keyed: true},
+		{Name: "reminder", Kind: Call, Weight: 5, Method: http.MethodPost, Path: "/meetwell/reminders", Keyed: true},
 	},
 	"matrizeria": {
 		{
@@ -72,7 +72,7 @@
 			Name: "press", Kind: Chat, Weight: 40, Path: chatPath,
 			Document: Range{100, 300}, Turn: Range{10, 40}, Output: Range{20, 60}, Sessions: 20, Revisions: 3,
 		},
-		{Name: "stock", Kind: Call, Weight: 30, Method: http.MethodGet, Path: "/stock"},
-		{Name: "order", Kind: Call, Weight: 10, Method: http.MethodPost, Path: "/orders", Keyed: true},
+		{Name: "stock", Kind: Call, Weight: 30, Method: http.MethodGet, Path: "/orders/stock"},
+		{Name: "order", Kind: Call, Weight: 10, Method: http.MethodPost, Path: "/orders/dies", Keyed: true},
 	},
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -16,6 +16,7 @@
 type Runner struct {
 	scenario Scenario
 	log      *logrus.Entry
+	prices   prices
 }
 
 // NewRunner returns a Runner of a scenario that has its defaults.
@@ -26,6 +27,10 @@
 // Run sends the scenario's requests to each target in turn and returns what
 // was seen of each.
 func (r *Runner) Run(ctx context.Context) ([]*TargetResult, error) {
+	var err error
+	if r.prices, err = readPrices(r.scenario.Inventory); err != nil {
+		return nil, err
+	}
 	results := make([]*TargetResult, len(r.scenario.Targets))
 	for i := range r.scenario.Targets {
 		results[i] = newTargetResult(&r.scenario.Targets[i])
@@ -52,8 +57,10 @@
 	run := fmt.Sprintf("%s-%d-%d-%d", result.Target.Name, r.scenario.Seed, round, time.Now().UnixNano())
 	start := time.Now()
 	stopEvents := r.startEvents(ctx, ctl, start)
+	stopMeter := r.startMeter(ctx, ctl)
 	outcomes, err := r.send(ctx, newGenerator(&r.scenario, run), newClient(result.Target, &r.scenario), start)
 	eventsErr := stopEvents()
+	result.Cost += stopMeter()
 	if err != nil {
 		return err
 	}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -34,13 +34,17 @@
 	Resumes  int      `yaml:"resumes" validate:"min=0,max=100"`
 	Arrivals Arrivals `yaml:"arrivals"`
 	// Mix names the classes of a deployment; Classes replaces them.
-	Mix        string             `yaml:"mix" validate:"required_without=Classes,omitempty,oneof=lanternfold matrizeria"`
-	Classes    []Class            `yaml:"classes" validate:"omitempty,dive"`
-	Model      string             `yaml:"model" validate:"required"`
-	Workspaces []Workspace        `yaml:"workspaces" validate:"required,min=1,dive"`
-	Targets    []Target           `yaml:"targets" validate:"required,min=1,dive"`
-	Events     []Event            `yaml:"events" validate:"omitempty,dive"`
-	Prices     map[string]float64 `yaml:"prices"`
+	Mix        string      `yaml:"mix" validate:"required_without=Classes,omitempty,oneof=lanternfold matrizeria"`
+	Classes    []Class     `yaml:"classes" validate:"omitempty,dive"`
+	Model      string      `yaml:"model" validate:"required"`
+	Workspaces []Workspace `yaml:"workspaces" validate:"required,min=1,dive"`
+	Targets    []Target    `yaml:"targets" validate:"required,min=1,dive"`
+	Events     []Event     `yaml:"events" validate:"omitempty,dive"`
+	// Inventory is a CSV file with the columns id and price_per_hour, by which
+	// the cost of the listed servers is added up; empty leaves it out.
+	Inventory string `yaml:"inventory"`
+	// StartedPrice is the price an hour of each instance that the cloud started.
+	StartedPrice float64 `yaml:"started_price" validate:"min=0"`
 
 	Telemetry telemetry.Settings `yaml:"telemetry"`
 }
