--- a/test/processes/fleet.go
+++ b/test/processes/fleet.go
@@ -298,3 +298,21 @@
 	}
 	return n
 }
+
+// Zone returns the name of the zone of an entry instance.
+func (f *Fleet) Zone(entry int) string { return zoneOf(entry, len(f.Entries)) }
+
+// Reclaim takes back the servers of a zone after notice, and returns their ids.
+func (f *Fleet) Reclaim(zone string, notice time.Duration) []string {
+	return f.instances.Reclaim(zone, "", notice)
+}
+
+// Recomputed returns the tokens that engines computed again.
+func (f *Fleet) Recomputed() uint64 {
+	var n uint64
+	for _, e := range f.Engines {
+		c := e.Counts()
+		n += c.TokensRecomputed + c.PromptTokensRecomputed
+	}
+	return n
+}
--- /dev/null
+++ b/test/reclaim/reclaim_test.go
@@ -0,0 +1,77 @@
+// Package reclaim proves that accepted requests survive announced reclaims.
+package reclaim
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/standin"
+	"kumquatyard/test/processes"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	processes.Cleanup()
+	os.Exit(code)
+}
+
+const (
+	callers = 12
+	tokens  = 200
+)
+
+func startFleet(t *testing.T) *processes.Fleet {
+	return processes.Start(t, processes.Options{
+		Entries: 3, Engines: 6, Services: 3, Engine: standin.EngineOptions{TokenTime: 10 * time.Millisecond},
+	})
+}
+
+func finish(t *testing.T, f *processes.Fleet, l *processes.Load) {
+	t.Helper()
+	l.Stop()
+	if n := l.Breaks(); n != 0 {
+		t.Errorf("%d connections broke in the middle of an answer", n)
+	}
+	t.Logf("%d whole answers, %d tokens recomputed", l.Answers(), f.Recomputed())
+}
+
+// TestZoneReclaimed takes a zone's servers back at once.
+func TestZoneReclaimed(t *testing.T) {
+	f := startFleet(t)
+	l := f.StartLoad(callers, tokens)
+	time.Sleep(time.Second)
+	f.Reclaim(f.Zone(0), 2*time.Second)
+	time.Sleep(3 * time.Second)
+	finish(t, f, l)
+}
+
+// TestSecondWave takes a second zone back during the first wave, while the
+// first zone's agent dies in the middle of it.
+func TestSecondWave(t *testing.T) {
+	f := startFleet(t)
+	l := f.StartLoad(callers, tokens)
+	time.Sleep(time.Second)
+	f.Reclaim(f.Zone(0), 2*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	f.Entries[0].Agent.Kill()
+	time.Sleep(300 * time.Millisecond)
+	f.Reclaim(f.Zone(1), 1500*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	finish(t, f, l)
+}
+
+// TestEntryReclaimedInWave stops an entry instance in the middle of a wave.
+func TestEntryReclaimedInWave(t *testing.T) {
+	f := startFleet(t)
+	l := f.StartLoad(callers, tokens)
+	time.Sleep(time.Second)
+	f.Reclaim(f.Zone(1), 2*time.Second)
+	for _, p := range []*processes.Process{f.Entries[1].Gateway, f.Entries[1].Agent} {
+		if code := p.Terminate(); code != 0 {
+			t.Errorf("%s exits with %d:\n%s", p.Name, code, p.Log())
+		}
+	}
+	time.Sleep(time.Second)
+	finish(t, f, l)
+}
--- a/test/rolling/rolling_test.go
+++ b/test/rolling/rolling_test.go
@@ -3,15 +3,10 @@
 package rolling
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"kumquatyard/internal/standin"
 	"kumquatyard/test/processes"
 )
@@ -27,44 +22,14 @@
 	tokens  = 80
 )
 
-// load keeps callers streaming until stop; every answer has to be whole.
-type load struct {
-	stopped atomic.Bool
-	answers atomic.Int64
-	breaks  atomic.Int64
-	wg      conc.WaitGroup
-}
-
-func startLoad(t *testing.T, f *processes.Fleet) *load {
-	l := &load{}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	for i := range callers {
-		l.wg.Go(func() {
-			c := f.NewCaller(i)
-			for n := 0; !l.stopped.Load() && ctx.Err() == nil; n++ {
-				if err := c.Chat(ctx, fmt.Sprintf("caller %d request %d", i, n), tokens); err != nil && ctx.Err() == nil {
-					t.Errorf("caller %d request %d: %v", i, n, err)
-				}
-				l.answers.Add(1)
-			}
-			l.breaks.Add(int64(c.Breaks))
-		})
-	}
-	return l
-}
-
-func (l *load) stop(t *testing.T, f *processes.Fleet) {
-	l.stopped.Store(true)
-	l.wg.Wait()
-	var recomputed uint64
-	for _, e := range f.Engines {
-		recomputed += e.Counts().TokensRecomputed
-	}
-	if recomputed != 0 {
-		t.Errorf("%d tokens were recomputed although no engine was lost", recomputed)
+// finish ends the load and checks that nothing was computed twice.
+func finish(t *testing.T, f *processes.Fleet, l *processes.Load) {
+	t.Helper()
+	l.Stop()
+	if n := f.Recomputed(); n != 0 {
+		t.Errorf("%d tokens were recomputed although no engine was lost", n)
 	}
-	t.Logf("%d whole answers, %d connections broke, %d tokens recomputed", l.answers.Load(), l.breaks.Load(), recomputed)
+	t.Logf("%d whole answers, %d connections broke", l.Answers(), l.Breaks())
 }
 
 func startFleet(t *testing.T) *processes.Fleet {
@@ -77,7 +42,7 @@
 // while callers stream answers. No connection breaks in the middle of one.
 func TestRollingRestart(t *testing.T) {
 	f := startFleet(t)
-	l := startLoad(t, f)
+	l := f.StartLoad(callers, tokens)
 	for _, e := range f.Entries {
 		for _, p := range []*processes.Process{e.Gateway, e.Agent} {
 			if code := p.Terminate(); code != 0 {
@@ -88,8 +53,8 @@
 		}
 		f.AwaitReady(e.Gateway)
 	}
-	l.stop(t, f)
-	if n := l.breaks.Load(); n != 0 {
+	finish(t, f, l)
+	if n := l.Breaks(); n != 0 {
 		t.Errorf("%d connections broke in the middle of an answer", n)
 	}
 }
@@ -98,15 +63,15 @@
 // they resume at the others.
 func TestEntryLoss(t *testing.T) {
 	f := startFleet(t)
-	l := startLoad(t, f)
+	l := f.StartLoad(callers, tokens)
 	for _, e := range f.Entries {
 		time.Sleep(300 * time.Millisecond)
 		e.Gateway.Kill()
 		e.Gateway.Start()
 		f.AwaitReady(e.Gateway)
 	}
-	l.stop(t, f)
-	if l.breaks.Load() == 0 {
+	finish(t, f, l)
+	if l.Breaks() == 0 {
 		t.Error("no connection broke; the test lost no answer to resume")
 	}
 }
@@ -115,21 +80,21 @@
 // picture and ask the servers themselves.
 func TestAgentsFrozen(t *testing.T) {
 	f := startFleet(t)
-	l := startLoad(t, f)
+	l := f.StartLoad(callers, tokens)
 	for _, e := range f.Entries {
 		e.Agent.Freeze()
 	}
 	time.Sleep(4 * time.Second)
-	before := l.answers.Load()
+	before := l.Answers()
 	time.Sleep(time.Second)
-	if l.answers.Load() == before {
+	if l.Answers() == before {
 		t.Error("no answer came while the agents were frozen")
 	}
 	for _, e := range f.Entries {
 		e.Agent.Thaw()
 	}
-	l.stop(t, f)
-	if n := l.breaks.Load(); n != 0 {
+	finish(t, f, l)
+	if n := l.Breaks(); n != 0 {
 		t.Errorf("%d connections broke in the middle of an answer", n)
 	}
 }
