--- a/internal/configstore/history_test.go
+++ b/internal/configstore/history_test.go
@@ -329,7 +329,8 @@
 // run lets operators, readers and faults work at once. It returns when all
 // nodes hold the last version.
 func (r *fleetRun) run(t *testing.T, seed uint64) {
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
 	var fleet, work, disturbance conc.WaitGroup
 	for _, n := range r.nodes {
 		fleet.Go(func() { _ = n.keeper.Run(ctx) })
