--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,13 @@
 	go test -race $(SKIP) $(PLAIN)
 	go test -race $(SKIP) $(RAPID) -rapid.seed=$(SEED) -rapid.nofailfile
 
+DURATION ?= 60s
+
+# The failure proofs with processes, longer than in make test.
+.PHONY: prove
+prove:
+	SEED=$(SEED) DURATION=$(DURATION) go test ./test/atmostonce -run TestAtMostOnce -count=1 -v -timeout 2h
+
 .PHONY: up
 up: build
 	@bash scripts/up.sh
