--- a/internal/evacuate/plan.go
+++ b/internal/evacuate/plan.go
@@ -5,16 +5,44 @@
 	"slices"
 	"time"
 
-	"kumquatyard/internal/contract"
 	"kumquatyard/internal/machine"
 )
 
 // Plan returns an action for each request, in the order in which they are to
 // be carried out. Exports go by the tokens that they save for each second of
 // notice that they take; work with a person waiting goes first where that is
-// equal.
+// equal. Started actions that still lead somewhere get none.
 func Plan(in Input) []Action {
 	p := newPlanner(in)
+	pending := p.pending()
+	p.sortByDensity(pending)
+	var rest []*Request
+	for _, r := range pending {
+		if !p.export(r) {
+			rest = append(rest, r)
+		}
+	}
+	slices.SortStableFunc(rest, byUrgency)
+	for _, r := range rest {
+		p.resend(r)
+	}
+	return p.actions
+}
+
+// PlanInOrder plans the requests one at a time in the order given: the
+// baseline that Plan is measured against.
+func PlanInOrder(in Input) []Action {
+	p := newPlanner(in)
+	for _, r := range p.pending() {
+		if !p.export(r) {
+			p.resend(r)
+		}
+	}
+	return p.actions
+}
+
+// pending plans the requests that finish in time and returns the others.
+func (p *planner) pending() []*Request {
 	kept := p.keepStarted()
 	var pending []*Request
 	for i := range p.in.Requests {
@@ -28,18 +56,7 @@
 		}
 		pending = append(pending, r)
 	}
-	p.sortByDensity(pending)
-	var rest []*Request
-	for _, r := range pending {
-		if !p.export(r) {
-			rest = append(rest, r)
-		}
-	}
-	slices.SortStableFunc(rest, byUrgency)
-	for _, r := range rest {
-		p.resend(r)
-	}
-	return p.actions
+	return pending
 }
 
 // planner is the state of one planning run.
@@ -157,15 +174,13 @@
 // byUrgency orders by priority, deadline, tokens at stake and id.
 func byUrgency(a, b *Request) int {
 	return cmp.Or(
-		cmp.Compare(priority(a), priority(b)),
+		cmp.Compare(a.Priority, b.Priority),
 		compareDeadlines(a.Deadline, b.Deadline),
 		cmp.Compare(b.atStake(), a.atStake()),
 		cmp.Compare(a.ID, b.ID),
 	)
 }
 
-func priority(r *Request) contract.Priority { return r.Priority }
-
 func compareDeadlines(a, b time.Time) int {
 	switch {
 	case a.IsZero() && b.IsZero():
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -41,6 +41,9 @@
 	// forgiveAfter is the number of ejection times that a server has to stay
 	// in before its next ejection is a shorter one.
 	forgiveAfter = 4
+	// staleAfter is the time without a sample after which the averages say
+	// nothing about a server any more.
+	staleAfter = 30 * time.Second
 )
 
 // Member is a server that may be routed to.
@@ -71,6 +74,10 @@
 	samples  int
 	latency  float64
 	failures float64
+	// known is the number of samples at the last Update that saw new ones, and
+	// knownAt its time.
+	known   int
+	knownAt time.Time
 	// ejections counts the ejections that have not been forgiven.
 	ejections int
 	ejected   bool
@@ -123,6 +130,7 @@
 		if st == nil {
 			continue
 		}
+		st.age(now)
 		d.readmit(now, st)
 		if st.samples >= minSamples && st.latency > 0 {
 			pools[m.Pool] = append(pools[m.Pool], st.latency)
@@ -135,6 +143,17 @@
 	return out
 }
 
+// age drops the averages of a server that got no samples for a while. The
+// record of its ejections stays.
+func (st *stats) age(now time.Time) {
+	switch {
+	case st.samples != st.known:
+		st.known, st.knownAt = st.samples, now
+	case now.Sub(st.knownAt) > staleAfter:
+		st.samples, st.known, st.latency, st.failures = 0, 0, 0, 0
+	}
+}
+
 // place is the part of a pool that lies in one zone.
 type place struct{ pool, zone string }
 
@@ -221,7 +240,7 @@
 // and forgives an ejection after a long time without another.
 func (d *Detector) readmit(now time.Time, st *stats) {
 	if st.ejected && !now.Before(st.until) {
-		*st = stats{ejections: st.ejections, until: now}
+		*st = stats{ejections: st.ejections, until: now, knownAt: now}
 		return
 	}
 	if !st.ejected && st.ejections > 0 {
--- /dev/null
+++ b/internal/outlier/outlier_test.go
@@ -0,0 +1,94 @@
+package outlier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/outlier"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func members(zones, perZone int) []outlier.Member {
+	var out []outlier.Member
+	for i := range zones * perZone {
+		out = append(out, outlier.Member{ID: machine.ID(fmt.Sprint("s", i)), Zone: fmt.Sprint("z", i%zones), Pool: "chat"})
+	}
+	return out
+}
+
+// Whatever the samples, no more than the share of a zone's part of a pool is
+// out at once, also when members come and go, and every ejection ends.
+func TestEjectionKeepsItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share = 0.34
+		d := outlier.New(outlier.Settings{MaxShare: share})
+		all := members(3, rapid.IntRange(1, 8).Draw(t, "servers"))
+		now := epoch
+		var present []outlier.Member
+		for range rapid.IntRange(1, 30).Draw(t, "rounds") {
+			present = all[:rapid.IntRange(1, len(all)).Draw(t, "present")]
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "s")) * time.Second)
+			for range rapid.IntRange(0, 4).Draw(t, "bursts") {
+				m := rapid.SampledFrom(present).Draw(t, "server")
+				latency := time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond
+				failed := rapid.Bool().Draw(t, "failed")
+				for range 10 {
+					d.Observe(outlier.Sample{Server: m.ID, Latency: latency, Failed: failed})
+				}
+			}
+			size, out := map[string]int{}, map[string]int{}
+			ejected := d.Update(now, present)
+			for _, m := range present {
+				size[m.Zone]++
+				if ejected[m.ID] {
+					out[m.Zone]++
+				}
+			}
+			for zone, n := range out {
+				if float64(n) > share*float64(size[zone]) {
+					t.Fatalf("%d of %d servers of %s are out", n, size[zone], zone)
+				}
+			}
+		}
+		if ejected := d.Update(now.Add(time.Hour), present); len(ejected) > 0 {
+			t.Fatalf("%d servers are out an hour later", len(ejected))
+		}
+	})
+}
+
+// A server that turns slow is ejected, comes back after a time, and stays out
+// longer each time it is slow again.
+func TestSlowServerStaysOutLongerEachTime(t *testing.T) {
+	d := outlier.New(outlier.Settings{BaseEjection: 10 * time.Second})
+	all := members(1, 6)
+	now := epoch
+	sample := func() {
+		for range 20 {
+			for i, m := range all {
+				latency := 20 * time.Millisecond
+				if i == 0 {
+					latency *= 8
+				}
+				d.Observe(outlier.Sample{Server: m.ID, Latency: latency})
+			}
+		}
+	}
+	for _, want := range []time.Duration{10 * time.Second, 20 * time.Second, 40 * time.Second} {
+		sample()
+		if ejected := d.Update(now, all); len(ejected) != 1 || !ejected["s0"] {
+			t.Fatalf("ejected %v", ejected)
+		}
+		if ejected := d.Update(now.Add(want-time.Second), all); !ejected["s0"] {
+			t.Fatalf("back before %v", want)
+		}
+		now = now.Add(want)
+		if ejected := d.Update(now, all); len(ejected) != 0 {
+			t.Fatalf("still out after %v: %v", want, ejected)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,91 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/retry"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// A request is never sent again where it may have run, unless it is
+// idempotent; never after it ran; and never past its deadline.
+func TestDecide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		verdict := contract.Verdict(rapid.IntRange(0, 3).Draw(t, "verdict"))
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		attempt := rapid.IntRange(1, 6).Draw(t, "attempt")
+		left := time.Duration(rapid.IntRange(0, 3000).Draw(t, "left")) * time.Millisecond
+		delay, ok := retry.Decide(verdict, idempotent, attempt, epoch.Add(left), epoch, rapid.Uint64().Draw(t, "seed"))
+		safe := verdict == contract.NotRun || (verdict == contract.MayHaveRun && idempotent)
+		if ok && (!safe || attempt >= retry.MaxAttempts || delay >= left || delay < 0) {
+			t.Fatalf("retry after %v of attempt %d, %v, idempotent %v, %v left", delay, attempt, verdict, idempotent, left)
+		}
+		if !ok && safe && attempt < retry.MaxAttempts && left > 2*time.Second {
+			t.Fatal("refused a safe retry in time")
+		}
+	})
+}
+
+// However requests fail, the retries of a workspace stay within its ratio and
+// the burst, and so do those at a server.
+func TestBudgetBoundsTheMultiplicationOfLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const burst, serverRatio = 10, 0.2
+		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
+		b := retry.NewBudget(func(string) float64 { return ratio })
+		requests, byWorkspace, byServer := 0, 0, map[machine.ID]int{}
+		granted := map[machine.ID]int{}
+		for range rapid.IntRange(0, 300).Draw(t, "requests") {
+			id := machine.ID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "server"))
+			b.Request("w", id)
+			requests++
+			byServer[id]++
+			for range rapid.IntRange(0, 3).Draw(t, "failures") {
+				if b.Take("w", id) {
+					byWorkspace++
+					granted[id]++
+				}
+			}
+		}
+		if float64(byWorkspace) > ratio*float64(requests)+burst {
+			t.Fatalf("%d retries of %d requests at ratio %f", byWorkspace, requests, ratio)
+		}
+		if ratio == 0 && byWorkspace > 0 {
+			t.Fatalf("%d retries of a workspace without any", byWorkspace)
+		}
+		for id, n := range granted {
+			if float64(n) > serverRatio*float64(byServer[id])+burst {
+				t.Fatalf("%d retries at server %s of %d requests", n, id, byServer[id])
+			}
+		}
+	})
+}
+
+// Reads are hedged after the 95th percentile of recent latency; other requests
+// never are.
+func TestHedge(t *testing.T) {
+	h := retry.NewHedge()
+	if _, ok := h.Delay(true); ok {
+		t.Fatal("hedges without samples")
+	}
+	for i := range 3000 {
+		latency := 10 * time.Millisecond
+		if i%100 >= 90 {
+			latency = 200 * time.Millisecond
+		}
+		h.Observe(latency)
+	}
+	delay, ok := h.Delay(true)
+	if !ok || delay < 190*time.Millisecond || delay > 210*time.Millisecond {
+		t.Fatalf("delay %v, %v", delay, ok)
+	}
+	if _, ok := h.Delay(false); ok {
+		t.Fatal("hedges a request that is not idempotent")
+	}
+}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -18,7 +18,7 @@
 	baseline float64
 	// scale extrapolates from this gateway's own changes to those of all.
 	scale float64
-	slots    float64
+	slots float64
 	// tokensPerRequest is the mean work of a request on the server.
 	tokensPerRequest float64
 	tokensPerSecond  float64
