--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,8 @@
 slopes:
 	go build -o $(BIN)/slopes ./test/slopes
 	$(BIN)/slopes --revision "$$(git describe --always --dirty)"
+
+# Ratios between the routing policies on both deployments' mixes.
+.PHONY: policy
+policy:
+	go run ./test/policy/table --seed $(SEED)
