gateway: evacuation measured against letting requests break off

Cause: the first process tests of reclaim could not tell the plan from nothing. Change: a routing setting turns the evacuation off as a baseline; long prompts and answers longer than the notice in TestEvacuationSaves; the margin kept of a notice is 250 ms instead of 500.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -53,6 +53,9 @@
 	// Policy is "kumquat" or one of the baselines "round_robin",
 	// "least_outstanding" and "prefix_hash".
 	Policy string `yaml:"policy" validate:"omitempty,oneof=kumquat round_robin least_outstanding prefix_hash"`
+	// Evacuation is "planned", which moves requests off servers that are about
+	// to be reclaimed, or the baseline "none", which lets them break off.
+	Evacuation string `yaml:"evacuation" validate:"omitempty,oneof=planned none"`
 	// LoadBound is the factor over the mean load at which a preferred server is passed over.
 	LoadBound float64 `yaml:"load_bound" validate:"omitempty,min=1,max=10"`
 	// StaleAfter is the age of a view after which a gateway asks a server before using it.
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"kumquatyard/internal/evacuate"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/prefix"
@@ -17,7 +19,9 @@
 	// exportBytesPerSecond is the bandwidth assumed between two engines.
 	exportBytesPerSecond = 1 << 30
 	// evacuationMargin is kept free at the end of a notice.
-	evacuationMargin = 500 * time.Millisecond
+	evacuationMargin = 250 * time.Millisecond
+	// evacuationNone is the baseline that moves nothing.
+	evacuationNone = "none"
 	// receiverTokens is the KV cache room assumed for one free slot.
 	receiverTokens = 32 << 10
 )
@@ -51,7 +55,7 @@
 // A later wave plans only what is not under way already.
 func (g *Gateway) evacuate(p *picture) {
 	leaving := leavingServers(p)
-	if len(leaving) == 0 {
+	if len(leaving) == 0 || p.cfg.Routing.Evacuation == evacuationNone {
 		return
 	}
 	g.evacuation.mu.Lock()
@@ -60,12 +64,16 @@
 	if len(in.Requests) == 0 {
 		return
 	}
+	kinds := logrus.Fields{}
 	for _, action := range evacuate.Plan(in) {
 		if r, ok := runs[action.Request]; ok {
 			g.evacuation.planned[r] = action
 			g.start(r, action)
+			count, _ := kinds[action.Kind.String()].(int)
+			kinds[action.Kind.String()] = count + 1
 		}
 	}
+	g.log.WithFields(kinds).WithField("leaving", len(leaving)).Info("evacuation planned")
 }
 
 // wave collects the input of a plan, and the runs by the ids used in it.
--- a/test/processes/fleet.go
+++ b/test/processes/fleet.go
@@ -47,6 +47,8 @@
 	Engine   standin.EngineOptions
 	Service  standin.ServiceOptions
 	KV       standin.Options
+	// Routing holds further lines of the routing rules.
+	Routing string
 }
 
 // Fleet is a set of entry instances with the stand-ins around them.
@@ -185,7 +187,7 @@
 func (f *Fleet) writeConfiguration(o Options, inventory map[string]*strings.Builder) {
 	sum := sha256.Sum256([]byte(APIKey))
 	docs := map[string][]byte{
-		"rules/fleet": []byte(fleetRules),
+		"rules/fleet": []byte(fleetRules + "routing: {" + o.Routing + "}\n"),
 		"rules/test":  fmt.Appendf(nil, "name: test\nweight: 1\nmax_in_flight: 1000\nretry_ratio: 1\napi_key_sha256: [%s]\n", hex.EncodeToString(sum[:])),
 	}
 	zones := "zones:\n"
@@ -316,3 +318,12 @@
 	}
 	return n
 }
+
+// Running returns the number of requests that the engines run.
+func (f *Fleet) Running() int {
+	n := 0
+	for _, e := range f.Engines {
+		n += e.State().Running
+	}
+	return n
+}
--- a/test/processes/load.go
+++ b/test/processes/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 
 	"github.com/sourcegraph/conc"
@@ -18,7 +19,11 @@
 
 // StartLoad starts callers that ask for answers of up to tokens tokens, one
 // after another, until Stop.
-func (f *Fleet) StartLoad(callers, tokens int) *Load {
+func (f *Fleet) StartLoad(callers, tokens int) *Load { return f.StartLongLoad(callers, tokens, 0) }
+
+// StartLongLoad is StartLoad with at least promptBytes of prompt, which no two
+// requests share.
+func (f *Fleet) StartLongLoad(callers, tokens, promptBytes int) *Load {
 	l := &Load{}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.t.Cleanup(cancel)
@@ -27,7 +32,8 @@
 			c := f.NewCaller(i)
 			for n := 0; !l.stopped.Load() && ctx.Err() == nil; n++ {
 				prompt := fmt.Sprintf("caller %d request %d", i, n)
-				if err := c.Chat(ctx, prompt, tokens); err != nil && ctx.Err() == nil {
+				long := strings.Repeat(prompt+" ", promptBytes/len(prompt)+1)
+				if err := c.Chat(ctx, long, tokens); err != nil && ctx.Err() == nil {
 					f.t.Errorf("%s: %v", prompt, err)
 				}
 				l.answers.Add(1)
--- a/test/reclaim/reclaim_test.go
+++ b/test/reclaim/reclaim_test.go
@@ -21,9 +21,10 @@
 	tokens  = 200
 )
 
-func startFleet(t *testing.T) *processes.Fleet {
+func startFleet(t *testing.T, routing string) *processes.Fleet {
 	return processes.Start(t, processes.Options{
-		Entries: 3, Engines: 6, Services: 3, Engine: standin.EngineOptions{TokenTime: 10 * time.Millisecond},
+		Entries: 3, Engines: 6, Services: 3, Routing: routing,
+		Engine: standin.EngineOptions{TokenTime: 10 * time.Millisecond},
 	})
 }
 
@@ -38,7 +39,7 @@
 
 // TestZoneReclaimed takes a zone's servers back at once.
 func TestZoneReclaimed(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, "")
 	l := f.StartLoad(callers, tokens)
 	time.Sleep(time.Second)
 	f.Reclaim(f.Zone(0), 2*time.Second)
@@ -49,7 +50,7 @@
 // TestSecondWave takes a second zone back during the first wave, while the
 // first zone's agent dies in the middle of it.
 func TestSecondWave(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, "")
 	l := f.StartLoad(callers, tokens)
 	time.Sleep(time.Second)
 	f.Reclaim(f.Zone(0), 2*time.Second)
@@ -63,7 +64,7 @@
 
 // TestEntryReclaimedInWave stops an entry instance in the middle of a wave.
 func TestEntryReclaimedInWave(t *testing.T) {
-	f := startFleet(t)
+	f := startFleet(t, "")
 	l := f.StartLoad(callers, tokens)
 	time.Sleep(time.Second)
 	f.Reclaim(f.Zone(1), 2*time.Second)
@@ -75,3 +76,29 @@
 	time.Sleep(time.Second)
 	finish(t, f, l)
 }
+
+// TestEvacuationSaves compares the tokens recomputed by the planned evacuation
+// of a zone with those recomputed when requests are left to break off.
+func TestEvacuationSaves(t *testing.T) {
+	planned := recomputedInWave(t, "evacuation: planned")
+	none := recomputedInWave(t, "evacuation: none")
+	t.Logf("tokens recomputed: %d planned, %d without", planned, none)
+	if 2*planned > none {
+		t.Errorf("the plan recomputes %d tokens, more than half of the %d without it", planned, none)
+	}
+}
+
+// recomputedInWave reclaims a zone while long prompts are being answered, with
+// too little notice for most answers to end in place.
+func recomputedInWave(t *testing.T, routing string) uint64 {
+	const promptBytes, answerTokens = 8 << 10, 500
+	f := startFleet(t, routing)
+	l := f.StartLongLoad(callers, answerTokens, promptBytes)
+	for f.Running() < callers {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.Reclaim(f.Zone(0), 2*time.Second)
+	time.Sleep(2 * time.Second)
+	finish(t, f, l)
+	return f.Recomputed()
+}
