slopes: events of a zone and news of the instance list, longer settling

Trial: 3 s after the start one node still served the configuration to the others (26,740 B/s); the fleet now settles for 6 s before it is measured.

--- a/test/slopes/claims.go
+++ b/test/slopes/claims.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"kumquatyard/internal/claim"
 	"kumquatyard/internal/claimshard"
 	"kumquatyard/internal/link"
 	"kumquatyard/internal/platform"
@@ -112,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	id := fmt.Sprintf("0198f3c2-7d1e-7000-8000-%012d", i)
-	key := fmt.Appendf(nil, "%016x%016x", xxhash.Sum64String(id), xxhash.Sum64String(id+"key"))
+	key := fmt.Appendf(nil, "%016x", xxhash.Sum64String(id))[:claim.DigestBytes]
 	resp, err := owner.Handle(ctx, "gateway", &pb.Request{Body: &pb.Request_Claim{Claim: &pb.ClaimRequest{
 		Key: key, Fingerprint: key, RequestId: id, RunId: id, Gateway: "g", RunTimeoutMs: uint32(claimTimeout.Milliseconds()),
 	}}})
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -31,6 +31,8 @@
 	{"views", "Gateway's view", viewsSweep},
 	{"claims", "One owner of all claim shards", claimsSweep},
 	{"duties", "Duties held under lease", dutiesSweep},
+	{"events", "A zone of 23 agents and 190 servers while something happens to it", events},
+	{"list", "Leaving servers by the instance list", listNews},
 	{"sizes", "Today's deployments, the letter's zone and its variants, and 138 agents", sizes},
 }
 
--- a/test/slopes/zone.go
+++ b/test/slopes/zone.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	settle     = 3 * time.Second
+	settle     = 6 * time.Second
 	window     = 6 * time.Second
 	startLimit = 40 * time.Second
 	// letterNodes and letterServers are a zone's share at the size to design for.
