agent: a starting agent meets all peers before it observes

Cause: until an agent has heard its peers it counts itself as the only live one and polls every server of its scope; in a mass start each server is polled by all agents. Change: after the first list read, heartbeats go to all peers in scope once, spread over 0.5 s.

--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"kumquatyard/internal/machine"
@@ -18,6 +19,9 @@
 	// average; reads rotate through the scope and slow down as the list grows.
 	listBytesPerSecond = 1500
 	listTimeout        = 5 * time.Second
+	// startSpread is the time over which agents that start together announce
+	// themselves.
+	startSpread = 500 * time.Millisecond
 
 	stateLeaving  = "leaving"
 	sourceList    = "list"
@@ -34,6 +38,10 @@
 	for !a.readListOnce(ctx) && ctx.Err() == nil {
 		sleep(ctx, jittered(a.settings.Intervals.List))
 	}
+	// Meeting all peers at once keeps a starting agent from observing servers
+	// that others observe already.
+	sleep(ctx, rand.N(startSpread))
+	signal(a.beatSoon)
 	for {
 		slot := a.listInterval()
 		sleep(ctx, time.Until(time.Now().Truncate(slot).Add(slot)))
