--- a/internal/configstore/bench_test.go
+++ b/internal/configstore/bench_test.go
@@ -1,9 +1,11 @@
 package configstore
 
 import (
+	"crypto/rand"
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"kumquatyard/internal/config"
 	pb "kumquatyard/proto/kumquat/v1"
@@ -31,6 +33,15 @@
 		docs[fmt.Sprintf("overrides/z0-s%d", i)] = []byte("drain: true\n")
 	}
 	head, _ := config.Apply(config.Head{}, config.Change{ID: "1", Puts: docs})
+	// The head remembers as many changes as it can.
+	for i := range 300 {
+		name := fmt.Sprintf("overrides/z0-s%d", i%(servers/100))
+		docs[name] = fmt.Appendf(nil, "note: %d\n", i)
+		head, _ = config.Apply(head, config.Change{
+			ID: rand.Text()[:16], Author: "operator", At: time.Unix(int64(i), 0),
+			Puts: map[string][]byte{name: docs[name]}, BaseHashes: head.Documents,
+		})
+	}
 	return bundleOf(head, docs)
 }
 
--- a/internal/configstore/fake_test.go
+++ b/internal/configstore/fake_test.go
@@ -267,7 +267,7 @@
 // connection holds its caller.
 const standinTimeout = 300 * time.Millisecond
 
-func newStandinKV(t *testing.T, seed uint64) *standinKV {
+func newStandinKV(t testing.TB, seed uint64) *standinKV {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/configstore/keeper_test.go
+++ b/internal/configstore/keeper_test.go
@@ -20,7 +20,7 @@
 	}
 }
 
-func mustApply(t *testing.T, kv KV, id, name, body string) {
+func mustApply(t testing.TB, kv KV, id, name, body string) {
 	t.Helper()
 	w := NewWriter(kv)
 	head, _, err := w.Read(t.Context())
@@ -32,7 +32,7 @@
 	}
 }
 
-func await(t *testing.T, what string, ok func() bool) {
+func await(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(inForce)
 	for !ok() {
