--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -20,7 +20,7 @@
 	w := configstore.NewWriter(a.kv)
 	var change config.Change
 	for range maxDrainTries {
-		head, docs, err := w.Read(ctx)
+		head, docs, err := a.read(ctx, w)
 		if err != nil {
 			return err
 		}
--- a/internal/ctl/importer.go
+++ b/internal/ctl/importer.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	w := configstore.NewWriter(a.kv)
-	head, docs, err := w.Read(ctx)
+	head, docs, err := a.read(ctx, w)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/rules.go
+++ b/internal/ctl/rules.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"kumquatyard/internal/config"
@@ -46,6 +47,20 @@
 	}
 }
 
+// read returns the documents in force. It tries until ctx is done, so that a
+// short outage of the key-value service is not the operator's concern.
+func (a *app) read(ctx context.Context, w *configstore.Writer) (config.Head, map[string][]byte, error) {
+	var head config.Head
+	docs, err := backoff.Retry(ctx, func() (docs map[string][]byte, err error) {
+		head, docs, err = w.Read(ctx)
+		return docs, err
+	}, backoff.WithBackOff(backoff.NewExponentialBackOff()), backoff.WithMaxElapsedTime(0))
+	if err != nil {
+		return head, nil, fmt.Errorf("the key-value service at %s cannot be read within %v; nothing was changed: %w", a.KV, a.Timeout, err)
+	}
+	return head, docs, nil
+}
+
 func (a *app) apply(ctx context.Context, w *configstore.Writer, change config.Change, rows []rowChange) error {
 	result, err := w.Apply(ctx, change)
 	if err != nil {
@@ -74,7 +89,7 @@
 }
 
 func (a *app) listDocuments(ctx context.Context) error {
-	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	head, docs, err := a.read(ctx, configstore.NewWriter(a.kv))
 	if err != nil {
 		return err
 	}
@@ -87,7 +102,7 @@
 
 // withBase returns a document with its base line.
 func (a *app) withBase(ctx context.Context, name string) ([]byte, error) {
-	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	head, docs, err := a.read(ctx, configstore.NewWriter(a.kv))
 	if err != nil {
 		return nil, err
 	}
@@ -158,7 +173,7 @@
 		return err
 	}
 	w := configstore.NewWriter(a.kv)
-	head, _, err := w.Read(ctx)
+	head, _, err := a.read(ctx, w)
 	if err != nil {
 		return err
 	}
@@ -173,7 +188,7 @@
 
 func (a *app) deleteDocument(ctx context.Context, name, id string) error {
 	w := configstore.NewWriter(a.kv)
-	head, _, err := w.Read(ctx)
+	head, _, err := a.read(ctx, w)
 	if err != nil {
 		return err
 	}
@@ -194,7 +209,7 @@
 		return usage("%s: %w", directory, err)
 	}
 	w := configstore.NewWriter(a.kv)
-	head, _, err := w.Read(ctx)
+	head, _, err := a.read(ctx, w)
 	if err != nil {
 		return err
 	}
@@ -256,7 +271,7 @@
 	if err != nil {
 		return err
 	}
-	head, docs, err := configstore.NewWriter(a.kv).Read(ctx)
+	head, docs, err := a.read(ctx, configstore.NewWriter(a.kv))
 	if err != nil {
 		return err
 	}
@@ -284,7 +299,7 @@
 }
 
 func (a *app) history(ctx context.Context) error {
-	head, _, err := configstore.NewWriter(a.kv).Read(ctx)
+	head, _, err := a.read(ctx, configstore.NewWriter(a.kv))
 	if err != nil {
 		return err
 	}
