--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -42,7 +42,7 @@
 		Queue:           4096,
 		WritesPerSecond: 10,
 		Burst:           4,
-		Linger:          50 * time.Millisecond,
+		Linger:          250 * time.Millisecond,
 		RetryDelay:      100 * time.Millisecond,
 	}
 }
--- /dev/null
+++ b/internal/claimshard/bench_test.go
@@ -0,0 +1,144 @@
+package claimshard
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/claim"
+	"kumquatyard/internal/platform"
+	"kumquatyard/internal/standin"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	benchSeconds = 5
+	// benchWrites and benchLatency are those of the platform's service.
+	benchWrites  = 300
+	benchLatency = 3
+)
+
+func benchKV(b *testing.B) (*standin.KV, *platform.KVClient) {
+	kv := standin.NewKV(standin.Options{Seed: 1, WritesPerSecond: benchWrites, ReadsPerSecond: 2000})
+	kv.ChangeFaults(func(f *standin.Faults) { f.LatencyMS = benchLatency })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = kv.Serve(l) }()
+	b.Cleanup(kv.Close)
+	return kv, platform.NewKVClient(l.Addr().String(), callTimeout)
+}
+
+// measure makes rate claims a second, open loop, each followed by its
+// settlement, and reports the latency of the claims and the writes of both.
+func measure(b *testing.B, rate int, kv *standin.KV, claimOne func(key string) error, settleOne func(key string) error) {
+	var mu sync.Mutex
+	var latencies []time.Duration
+	refused := 0
+	before := kv.Counts()
+	start := time.Now()
+	var calls conc.WaitGroup
+	for n := range rate * benchSeconds {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		calls.Go(func() {
+			key, began := fmt.Sprint("key-", n), time.Now()
+			err := claimOne(key)
+			took := time.Since(began)
+			mu.Lock()
+			if err != nil {
+				refused++
+			} else {
+				latencies = append(latencies, took)
+			}
+			mu.Unlock()
+			if err == nil {
+				_ = settleOne(key)
+			}
+		})
+	}
+	calls.Wait()
+	slices.Sort(latencies)
+	after := kv.Counts()
+	writes := float64(after.Writes-before.Writes) / time.Since(start).Seconds()
+	b.ReportMetric(writes, "writes/s")
+	b.ReportMetric(writes/float64(rate), "writes/claim")
+	b.ReportMetric(float64(refused)/float64(rate*benchSeconds)*100, "%refused")
+	if n := len(latencies); n > 0 {
+		b.ReportMetric(float64(latencies[n/2].Microseconds())/1000, "p50-ms")
+		b.ReportMetric(float64(latencies[n*99/100].Microseconds())/1000, "p99-ms")
+	}
+}
+
+// BenchmarkClaims compares claim shards with one key-value write a claim and
+// one a settlement, on the same stand-in: 3 ms a call, 300 writes a second.
+func BenchmarkClaims(b *testing.B) {
+	answer := &pb.StoredAnswer{Status: 201, ContentType: "application/json", Body: make([]byte, 300)}
+	for _, rate := range []int{10, 50, 150, 500, 2000} {
+		b.Run(fmt.Sprintf("shards/%d", rate), func(b *testing.B) {
+			for range b.N {
+				kv, client := benchKV(b)
+				o, stop := benchOwner(b, client)
+				measure(b, rate, kv, func(key string) error { return claimAt(o, key) }, func(key string) error { return settleAt(o, key, answer) })
+				stop()
+			}
+		})
+		b.Run(fmt.Sprintf("one-write/%d", rate), func(b *testing.B) {
+			for range b.N {
+				kv, client := benchKV(b)
+				var indexes sync.Map
+				measure(b, rate, kv, func(key string) error {
+					index, _, err := client.CompareAndSwap(context.Background(), "claim/"+key, make([]byte, 120), 0)
+					indexes.Store(key, index)
+					return err
+				}, func(key string) error {
+					index, _ := indexes.Load(key)
+					_, _, err := client.CompareAndSwap(context.Background(), "claim/"+key, make([]byte, 420), index.(uint64))
+					return err
+				})
+			}
+		})
+	}
+}
+
+func benchOwner(b *testing.B, kv KV) (*Owner, func()) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	self := &pb.Peer{Id: "a", Incarnation: 1, Address: "127.0.0.1:1"}
+	o := New(Options{
+		Self: self, Settings: DefaultSettings(), KV: kv, Log: logrus.NewEntry(log),
+		Live: func() []*pb.Peer { return []*pb.Peer{self} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() { _ = o.Run(ctx) })
+	for o.Owned() < DefaultSettings().Shards {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return o, func() { cancel(); running.Wait() }
+}
+
+func claimAt(o *Owner, key string) error {
+	resp, err := o.Handle(context.Background(), "", &pb.Request{Body: &pb.Request_Claim{Claim: &pb.ClaimRequest{
+		Key: claim.Key("w", key), Fingerprint: claim.Key("f", key), RunId: key, RequestId: key, RunTimeoutMs: 10000,
+	}}})
+	if err == nil && resp.GetClaim().GetOutcome() != pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED {
+		return fmt.Errorf("not granted: %v", resp.GetClaim().GetOutcome())
+	}
+	return err
+}
+
+func settleAt(o *Owner, key string, answer *pb.StoredAnswer) error {
+	_, err := o.Handle(context.Background(), "", &pb.Request{Body: &pb.Request_Settle{Settle: &pb.ClaimSettle{
+		Key: claim.Key("w", key), RunId: key, Verdict: pb.Verdict_VERDICT_RAN, Answer: answer,
+	}}})
+	return err
+}
