--- /dev/null
+++ b/internal/claim/bench_test.go
@@ -0,0 +1,81 @@
+package claim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+	"testing"
+	"time"
+
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+// stored returns the entries of a shard that remembers keys claims and their
+// answers of answerBytes.
+func stored(keys, answerBytes int) *kv {
+	b := &bench{now: time.Unix(1_800_000_000, 0), kv: &kv{entries: map[string]Entry{}}}
+	head := &pb.ClaimHead{Epoch: 1}
+	limits := DefaultLimits()
+	var value []byte
+	flush := func() {
+		name := ref{1, uint64(len(head.GetSegments()))}
+		b.kv.apply(Op{Kind: OpSwap, Key: name.key(0), Value: value})
+		head.Segments = append(head.Segments, name.message())
+		value = nil
+	}
+	for i := range keys {
+		key := binary.BigEndian.AppendUint64(make([]byte, 8), uint64(i))
+		run := fmt.Sprintf("%08d-0000-4000-8000-000000000000", i)
+		value = appendSegment(value, &pb.ClaimSegment{Records: []*pb.ClaimRecord{
+			{Key: key, RunId: run, Fingerprint: key, RequestId: run, AtUnixMs: b.now.UnixMilli(), RunTimeoutMs: 15000},
+			{
+				Key: key, RunId: run, Fingerprint: key, RequestId: run, AtUnixMs: b.now.UnixMilli(), Verdict: pb.Verdict_VERDICT_RAN,
+				Answer: &pb.StoredAnswer{Status: 201, ContentType: "application/json", Body: make([]byte, answerBytes)},
+			},
+		}})
+		if len(value) >= limits.SegmentBytes {
+			flush()
+		}
+	}
+	flush()
+	b.kv.apply(Op{Kind: OpSwap, Key: HeadKey(0), Value: encodeHead(head)})
+	return b.kv
+}
+
+// BenchmarkTakeover takes a shard over that remembers a number of keys, each
+// with an answer of 300 bytes, and reports what an owner's memory and the
+// service hold of a key.
+func BenchmarkTakeover(b *testing.B) {
+	for _, keys := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			k := stored(keys, 300)
+			storedBytes := 0
+			for _, e := range k.entries {
+				storedBytes += len(e.Value)
+			}
+			var before, after runtime.MemStats
+			var shards []*Shard
+			debug.FreeOSMemory()
+			runtime.ReadMemStats(&before)
+			b.ResetTimer()
+			for i := range b.N {
+				s := NewShard(0, fmt.Sprint("o/", i), "", DefaultLimits())
+				now := time.Unix(1_800_000_000, 0)
+				s.Acquire(now)
+				for !s.Owning() {
+					op, _, _ := s.Next(now)
+					s.Done(now, k.apply(op))
+				}
+				shards = append(shards, s)
+			}
+			b.StopTimer()
+			debug.FreeOSMemory()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(b.N*keys), "owner-bytes/key")
+			b.ReportMetric(float64(storedBytes)/float64(keys), "stored-bytes/key")
+			runtime.KeepAlive(shards)
+			runtime.KeepAlive(k)
+		})
+	}
+}
