--- a/test/policy/cases.go
+++ b/test/policy/cases.go
@@ -20,13 +20,14 @@
 		Duration: duration, WarmUp: duration / 3, CoolDown: duration / 6, Seed: seed,
 		ReportLag: time.Second, EventLag: time.Second, Load: 0.5,
 	}
-	busy, double, lagging, gaps, lost, slow := base, base, base, base, base, base
+	busy, double, lagging, gaps, lost, slow, shared := base, base, base, base, base, base, base
 	busy.Load = 0.8
 	double.Load = 2
 	lagging.ReportLag, lagging.EventLag = 4*time.Second, 4*time.Second
 	gaps.GapShare, gaps.EventLag = 0.05, 5*time.Second
 	lost.LoseZoneAt, lost.Notice = duration/2, 20*time.Second
 	slow.SlowAt, slow.SlowFactor = duration/3, 8
+	shared.SharedBlocks = 24
 	return []Case{
 		{"half load", base},
 		{"0.8 load", busy},
@@ -35,6 +36,7 @@
 		{"5 % of events lost, 5 s late", gaps},
 		{"zone lost", lost},
 		{"slow server", slow},
+		{"long shared prompts", shared},
 	}
 }
 
--- a/test/policy/mix.go
+++ b/test/policy/mix.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"kumquatyard/internal/contract"
@@ -75,6 +76,17 @@
 	}
 }
 
+// share sets the blocks that open every prompt of a workspace, unless n is 0.
+func (x *Mix) share(n int) {
+	if n == 0 {
+		return
+	}
+	x.Kinds = slices.Clone(x.Kinds)
+	for i := range x.Kinds {
+		x.Kinds[i].Shared = n
+	}
+}
+
 // conversation is one run of a kind.
 type conversation struct {
 	kind      *Kind
--- a/test/policy/model.go
+++ b/test/policy/model.go
@@ -49,6 +49,9 @@
 	// SlowAt makes one server SlowFactor times slower, unreported; 0 is never.
 	SlowAt     time.Duration
 	SlowFactor float64
+	// SharedBlocks replaces the blocks that open every prompt of a workspace; 0
+	// leaves them.
+	SharedBlocks int
 	// NoEjection turns outlier ejection off.
 	NoEjection bool
 	// NoAdmission admits everything at once.
@@ -90,6 +93,7 @@
 		seen:     make(map[uint64]struct{}),
 		result:   newResult(&s),
 	}
+	m.mix.share(s.SharedBlocks)
 	m.build()
 	m.arrive()
 	m.faults()
