gateway: connections that go silent before the first byte of an answer

Change: an engine has 2 s to take a request and 3 s of silence before the first token until the stream is picked up over a new connection at the same engine; an attempt of an idempotent call leaves half of its time to another one, which does not reuse a kept connection; streams given up on are cancelled. Seen red: TestSilenceBeforeFirstToken (no token) and TestSilentConnections (504). After: both pass, with no prompt token computed again.

--- a/internal/gateway/chat_test.go
+++ b/internal/gateway/chat_test.go
@@ -199,3 +199,30 @@
 		t.Errorf("the leaving server was given work %d times", n)
 	}
 }
+
+// TestSilenceBeforeFirstToken cuts the connections while the engine still
+// works on the prompt. The stream is picked up where it is held.
+func TestSilenceBeforeFirstToken(t *testing.T) {
+	options := quickEngine
+	options.PrefillTokensPerSecond = 1000
+	y := newYard(t, 2, 0, 1, options)
+	prompt := strings.Repeat("long prompt ", 700)
+	go func() {
+		for y.engines[0].State().Running+y.engines[1].State().Running == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		for _, engine := range y.engines {
+			engine.ChangeFaults(func(f *standin.Faults) { f.Silent = true })
+		}
+	}()
+	var e events
+	e.read(y.do("POST", y.urls[0]+chatPath, nil, chatBodyOf(prompt, 10, true)).Body, math.MaxInt)
+	if got, want := e.text.String(), wantAnswer(prompt, 10); got != want || !e.done {
+		t.Errorf("answer = %q, done %v, event %q; want %q", got, e.done, e.name, want)
+	}
+	for i, engine := range y.engines {
+		if counts := engine.Counts(); counts.PromptTokensRecomputed != 0 {
+			t.Errorf("engine %d recomputed %d prompt tokens", i, counts.PromptTokensRecomputed)
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -21,6 +21,8 @@
 	// stallTimeout is the silence between tokens after which a stream's
 	// connection counts as lost.
 	stallTimeout = 3 * time.Second
+	// acceptTimeout bounds the time until an engine takes a request.
+	acceptTimeout = 2 * time.Second
 	// chunksAhead bounds the chunks held for one answer out of order.
 	chunksAhead = 1024
 	// retryAfterNoServer is when a caller may come back when no server takes its request.
@@ -136,12 +138,14 @@
 	}
 }
 
-// patience is the time until the source counts as lost.
+// patience is the time until the source counts as lost. Before the first token
+// a silent engine may be at work on the prompt; asking it over a new connection
+// tells that from a connection that went silent.
 func (r *run) patience() time.Duration {
 	if r.asm.Next() > 0 {
 		return stallTimeout
 	}
-	return max(time.Until(r.req.deadline), 0)
+	return min(stallTimeout, max(time.Until(r.req.deadline), 0))
 }
 
 func (r *run) take(e sourceEvent) ([]answer.Chunk, error) {
@@ -191,6 +195,9 @@
 	if r.server != nil && r.held < heldTries && r.attempt > 0 {
 		r.held++
 		if r.pickUp(r.server) == nil {
+			if r.asm.Next() == 0 {
+				r.held = 0
+			}
 			return nil
 		}
 	}
@@ -213,6 +220,9 @@
 			return r.sending.refusal(last)
 		}
 		last = r.send(choice.Server)
+		if last != nil && contract.VerdictOf(last) == contract.MayHaveRun && r.pickUp(&choice.Server.Server) == nil {
+			last = nil // the engine took the request; only the connection went silent
+		}
 		if last == nil {
 			r.g.journal.routed(r.req.id, choice.Server.ID, choice.Reason, choice.ReusableTokens)
 			return nil
@@ -259,6 +269,13 @@
 	return time.Now().Add(stallTimeout)
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // send starts the rest of the answer at an engine.
 func (r *run) send(s *route.Server) error {
 	if err := r.g.confirm(r.ctx, s); err != nil {
@@ -289,7 +306,7 @@
 }
 
 func (r *run) connect(req *fasthttp.Request, server *machine.Server) error {
-	ctx, cancel := context.WithDeadline(r.ctx, r.bound())
+	ctx, cancel := context.WithDeadline(r.ctx, earlier(r.bound(), time.Now().Add(acceptTimeout)))
 	defer cancel()
 	ctx, span := tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(server.ID)), attribute.Int("attempt", int(r.attempt))))
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -140,12 +140,23 @@
 	})
 }
 
+// attemptContext bounds one attempt. Of an idempotent request's time it leaves
+// half for another attempt, since a connection may have gone silent.
+func (r *plainRequest) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if !r.who.contract.Idempotent {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(r.who.deadline)/2)
+}
+
 // trySend sends the request to s once.
 func (g *Gateway) trySend(ctx context.Context, req *plainRequest, s *route.Server, attempt int) (plainAnswer, error) {
 	if err := g.confirm(ctx, s); err != nil {
 		return plainAnswer{}, err
 	}
 	attemptsTotal.Inc()
+	ctx, cancel := req.attemptContext(ctx)
+	defer cancel()
 	ctx, span := tracer.Start(ctx, "gateway.attempt", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("server", string(s.ID)), attribute.Int("attempt", attempt)))
 	defer span.End()
@@ -178,7 +189,7 @@
 	req.Header.Set(headerRequestID, in.id)
 	req.Header.Set(headerAttempt, strconv.Itoa(attempt))
 	req.SetBodyRaw(in.body)
-	if err := g.upstream.do(ctx, req, resp, in.who.contract.Idempotent); err != nil {
+	if err := g.upstream.do(ctx, req, resp, in.who.contract.Idempotent && attempt == 1); err != nil {
 		return plainAnswer{}, err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -162,3 +162,18 @@
 		t.Errorf("the booking ran %d times", n)
 	}
 }
+
+// TestSilentConnections lets kept connections go silent: lookups that meet
+// them are answered over new ones before their deadline.
+func TestSilentConnections(t *testing.T) {
+	y := newYard(t, 0, 2, 1, quickEngine)
+	for range 8 {
+		y.do("GET", y.urls[0]+"/lookups/1", nil, nil)
+	}
+	for _, s := range y.services {
+		s.ChangeFaults(func(f *standin.Faults) { f.Silent = true })
+	}
+	if resp := y.do("GET", y.urls[0]+"/lookups/1", nil, nil); resp.StatusCode != 200 {
+		t.Errorf("status = %d, want 200", resp.StatusCode)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,6 +92,9 @@
 			return chunks, err
 		}
 		if time.Now().After(r.req.deadline) {
+			if r.server != nil {
+				r.abandon(r.server)
+			}
 			return nil, &contract.Error{Kind: contract.KindDeadline, Verdict: contract.MayHaveRun, Message: "no token arrived before the deadline", RetryAfter: retryAfterNoServer}
 		}
 	}
--- a/internal/standin/enginestream.go
+++ b/internal/standin/enginestream.go
@@ -52,6 +52,7 @@
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
 	ctx.Response.Header.Set("X-Request-Id", s.id)
+	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer e.detach(s)
 		e.pump(w, s, from)
