--- a/internal/load/chat.go
+++ b/internal/load/chat.go
@@ -51,20 +51,19 @@
 		o.Resumes++
 		gateway++
 		time.Sleep(resumePause)
-		c.fillResume(req, a, gateway)
+		c.fillResume(req, a)
 	}
 }
 
-// fillResume turns req into the resumption of a stream at another gateway. When
-// no engine holds the stream any more, the request is repeated with the place.
-func (c *client) fillResume(req *fasthttp.Request, a *answerStream, gateway int) {
+// fillResume turns req into the resumption of a stream. When no engine holds
+// the stream any more, the request is repeated with the place.
+func (c *client) fillResume(req *fasthttp.Request, a *answerStream) {
 	place := a.lastID
 	req.Reset()
 	if a.repeat {
 		c.fill(req, a.outcome.Request)
-		req.URI().SetHost(c.gateways[gateway%len(c.gateways)].Addr)
 	} else {
-		req.SetRequestURI("http://" + c.gateways[gateway%len(c.gateways)].Addr + resumePath)
+		req.SetRequestURI("http://" + c.gateways[0].Addr + resumePath)
 		req.Header.SetMethod(fasthttp.MethodGet)
 		req.Header.Set("Authorization", "Bearer "+a.outcome.Request.Workspace.Key)
 	}
@@ -77,7 +76,7 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	defer closeBody(resp)
-	body, err := c.exchange(c.gateways[gateway%len(c.gateways)], req, resp, deadline)
+	body, err := c.exchange(gateway, req, resp, deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -1,11 +1,11 @@
 package load
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -87,7 +87,7 @@
 }
 
 func (c *client) fill(req *fasthttp.Request, r *Request) {
-	req.SetRequestURI("http://" + c.gateways[r.Number%len(c.gateways)].Addr + r.Path)
+	req.SetRequestURI("http://" + c.gateways[0].Addr + r.Path)
 	req.Header.SetMethod(r.Method)
 	req.Header.Set("Authorization", "Bearer "+r.Workspace.Key)
 	if r.Body != nil {
@@ -106,7 +106,7 @@
 func (c *client) call(req *fasthttp.Request, o *Outcome, due, deadline time.Time) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	body, err := c.exchange(c.gateways[o.Request.Number%len(c.gateways)], req, resp, deadline)
+	body, err := c.exchange(o.Request.Number, req, resp, deadline)
 	defer closeBody(resp)
 	if err != nil {
 		o.fail(err)
@@ -136,20 +136,27 @@
 	o.Result = OK
 }
 
-// exchange sends req and returns the body of the answer as it arrives.
-func (c *client) exchange(host *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (io.Reader, error) {
-	left := time.Until(deadline)
-	if left <= 0 {
-		return nil, fasthttp.ErrTimeout
+// exchange sends req to a gateway, or as a balancer would to the next ones
+// while connections are refused, and returns the answer's body as it arrives.
+func (c *client) exchange(gateway int, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) (io.Reader, error) {
+	err := errRefused
+	for i := 0; i < len(c.gateways) && errors.Is(err, errRefused); i++ {
+		left := time.Until(deadline)
+		if left <= 0 {
+			return nil, fasthttp.ErrTimeout
+		}
+		host := c.gateways[(gateway+i)%len(c.gateways)]
+		req.SetHost(host.Addr)
+		req.SetTimeout(left)
+		err = host.Do(req, resp)
 	}
-	req.SetTimeout(left)
-	if err := host.Do(req, resp); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	if stream := resp.BodyStream(); stream != nil {
 		return stream, nil
 	}
-	return strings.NewReader(string(resp.Body())), nil
+	return bytes.NewReader(resp.Body()), nil
 }
 
 func closeBody(resp *fasthttp.Response) {
--- a/internal/load/runner_test.go
+++ b/internal/load/runner_test.go
@@ -177,7 +177,9 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			test.gateway.service = service
-			s, err := testScenario(Target{Name: "t", Gateways: []string{startGateway(t, test.gateway)}, Control: control}).WithDefaults()
+			// One of the gateways is gone all the time.
+			gateways := []string{freeAddress(t), startGateway(t, test.gateway)}
+			s, err := testScenario(Target{Name: "t", Gateways: gateways, Control: control}).WithDefaults()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -196,6 +198,9 @@
 			if diff := cmp.Diff(want, promises); diff != "" {
 				t.Errorf("broken promises (-want +got):\n%s\n%v", diff, results[0].Violations[:min(3, len(results[0].Violations))])
 			}
+			if unsent := results[0].ByClass["booking"].Results[Unsent]; unsent > 0 {
+				t.Errorf("%d bookings were not sent to the gateway that is left", unsent)
+			}
 			question := results[0].ByClass["question"]
 			if resumed := question.Resumes > 0; resumed != (test.gateway.cutAfter > 0) {
 				t.Errorf("%d resumes", question.Resumes)
