--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -30,8 +30,6 @@
 	Path   string  `yaml:"path"`
 	// Keyed calls carry an Idempotency-Key and must run at most once.
 	Keyed bool `yaml:"keyed"`
-	// Deferrable requests may wait.
-	Deferrable bool `yaml:"deferrable"`
 	// Headers are sent with each request.
 	Headers map[string]string `yaml:"headers"`
 
@@ -52,7 +50,7 @@
 var mixes = map[string][]Class{
 	"lanternfold": {
 		{
-			Name: "guide", Kind: Chat, Weight: 10, Path: chatPath, Deferrable: true,
+			Name: "guide", Kind: Chat, Weight: 10, Path: chatPath,
 			Document: Range{1500, 4000}, Turn: Range{50, 200}, Output: Range{200, 400}, Sessions: 6, Revisions: 3,
 		},
 		{
