Configuration store: collections are paced by a key in the store

A collector that kept its notes in memory forgot them with its process. The last collection is now recorded in config/collection: blobs written before it and referenced by none of the last 256 heads go.

--- a/internal/configstore/follow.go
+++ b/internal/configstore/follow.go
@@ -131,6 +131,22 @@
 	return head.index, nil
 }
 
+// collectLoop lets a watcher look about every collectEvery whether a collection is due.
+func (k *Keeper) collectLoop(ctx context.Context) {
+	collector := NewCollector(k.options.KV)
+	for ctx.Err() == nil {
+		sleep(ctx, collectEvery/2+rand.N(collectEvery))
+		if ctx.Err() != nil || !k.watcher.Load() {
+			continue
+		}
+		deleted, err := collector.Collect(ctx, time.Now())
+		collected.Add(deleted)
+		if err != nil {
+			k.options.Log.WithError(err).Warn("configuration collection failed")
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/configstore/keeper.go
+++ b/internal/configstore/keeper.go
@@ -23,6 +23,7 @@
 	rejectedTotal = metrics.NewCounter("kumquat_config_rejected_total")
 	behindTotal   = metrics.NewCounter("kumquat_config_store_behind_total")
 	pullsTotal    = metrics.NewCounter("kumquat_config_pulls_total")
+	collected     = metrics.NewCounter("kumquat_config_blobs_deleted_total")
 	watchesTotal  = metrics.NewCounter("kumquat_config_watches_replaced_total")
 )
 
@@ -113,6 +114,7 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { k.follow(ctx) })
 	loops.Go(func() { k.pullLoop(ctx) })
+	loops.Go(func() { k.collectLoop(ctx) })
 	loops.Wait()
 	return nil
 }
--- a/internal/configstore/keeper_test.go
+++ b/internal/configstore/keeper_test.go
@@ -163,7 +163,7 @@
 func TestCollectorKeepsWhatAWriterIsAboutToName(t *testing.T) {
 	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
-	collector, now, deleted := NewCollector(kv), time.Unix(0, 0), 0
+	collector, now, deleted := NewCollector(kv), time.Unix(0, 0).Add(collectEvery), 0
 	collect := func() {
 		for range 2 {
 			n, err := collector.Collect(t.Context(), now)
@@ -171,7 +171,7 @@
 				t.Fatal(err)
 			}
 			deleted += n
-			now = now.Add(2 * minBlobAge)
+			now = now.Add(collectEvery)
 		}
 	}
 	mustApply(t, &collectingKV{kv, collect}, "2", "overrides/a", "drain: false\n")
@@ -182,3 +182,35 @@
 		t.Errorf("a committed head names a blob that is gone: %v", err)
 	}
 }
+
+// TestCollectorDeletesWhatIsForgotten makes more changes than are remembered.
+func TestCollectorDeletesWhatIsForgotten(t *testing.T) {
+	t.Parallel()
+	kv := newFakeKV(1).open()
+	const extra = 20
+	w, head := NewWriter(kv), config.Head{}
+	for i := range keptHeads + extra {
+		change := override(fmt.Sprint(i), "overrides/a", fmt.Sprintf("note: %d\n", i), head)
+		if result, err := w.Apply(t.Context(), change); err != nil || result.Outcome != Accepted {
+			t.Fatalf("%+v, %v", result, err)
+		}
+		head, _ = config.Apply(head, change)
+	}
+	now := time.Unix(0, 0)
+	collect := func(want int) {
+		t.Helper()
+		now = now.Add(collectEvery)
+		if n, err := NewCollector(kv).Collect(t.Context(), now); err != nil || n != want {
+			t.Errorf("%d blobs deleted, want %d; %v", n, want, err)
+		}
+	}
+	collect(0)
+	// Version n of the document is in head n, which is stored with head n+1.
+	// The newest head and its keptHeads-1 ancestors keep their documents; one
+	// more ancestor is kept as a blob.
+	collect(extra + extra - 1)
+	collect(0)
+	if _, _, err := NewWriter(kv).Read(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/configstore/register_test.go
+++ b/internal/configstore/register_test.go
@@ -100,4 +100,3 @@
 	}
 	return model.ToModel()
 }
-
