--- a/internal/configstore/keeper.go
+++ b/internal/configstore/keeper.go
@@ -19,6 +19,7 @@
 )
 
 var (
+	versionGauge  = metrics.NewGauge("kumquat_config_version", nil)
 	adoptedTotal  = metrics.NewCounter("kumquat_config_adopted_total")
 	rejectedTotal = metrics.NewCounter("kumquat_config_rejected_total")
 	behindTotal   = metrics.NewCounter("kumquat_config_store_behind_total")
@@ -234,6 +235,7 @@
 	}
 	k.current.Store(&snapshot{head: head, data: data, bodies: maps.Clone(bodies), config: built})
 	adoptedTotal.Inc()
+	versionGauge.Set(float64(head.Version))
 	log.Info("configuration adopted")
 	if k.started.Load() {
 		k.notify()
