An accepted version is handed to an agent

Cause: a change was in force only once a watch had answered, so an outage of the key-value service just after the acceptance, with the watches silent, held it back until the service returned. kumquatctl now hands the accepted version to its agent, best effort, and the peers pull it.

--- a/internal/configstore/keeper_test.go
+++ b/internal/configstore/keeper_test.go
@@ -70,6 +70,51 @@
 	await(t, "second", func() bool { return k.Version() == 2+2*parallelReads })
 }
 
+// TestOutageJustAfterAcceptance fails the store before any watch has answered:
+// the operator hands the version over, and the nodes pull it from one another.
+func TestOutageJustAfterAcceptance(t *testing.T) {
+	t.Parallel()
+	s := newFakeKV(1)
+	r := newFleetRun(s)
+	mustApply(t, s.open(), "first", "overrides/a", "drain: true\n")
+	ctx, stop := context.WithCancel(t.Context())
+	var fleet conc.WaitGroup
+	defer fleet.Wait()
+	defer stop()
+	for _, n := range r.nodes {
+		fleet.Go(func() { _ = n.keeper.Run(ctx) })
+	}
+	fleet.Go(func() { r.heartbeat(ctx, 1) })
+	r.final = 1
+	r.awaitAll(t)
+	faulty := &faultAtHead{KV: s.open(), before: func() { s.inject(faults{silent: true}) }}
+	w := NewWriter(&afterHead{faulty, func() { s.inject(faults{down: true}) }})
+	result, err := w.Apply(ctx, override("second", "overrides/b", "drain: true\n", config.Head{}))
+	if err != nil || result.Outcome != Accepted {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	handOver := &pb.Request{Body: &pb.Request_View{View: &pb.View{Config: result.Bundle}}}
+	if _, err := r.nodes[5].keeper.Handle(ctx, "ctl", handOver); err != nil {
+		t.Fatal(err)
+	}
+	r.final = 2
+	r.awaitAll(t)
+}
+
+// afterHead calls then as soon as the head was swapped.
+type afterHead struct {
+	KV
+	then func()
+}
+
+func (k *afterHead) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	newIndex, swapped, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if key == headKey {
+		k.then()
+	}
+	return newIndex, swapped, err
+}
+
 func TestPeerSendsOnlyWhatChanged(t *testing.T) {
 	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
--- a/internal/configstore/pull.go
+++ b/internal/configstore/pull.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"kumquatyard/internal/config"
+	"kumquatyard/internal/contract"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
@@ -113,12 +114,16 @@
 	if err != nil {
 		return err
 	}
-	return k.adopt(ctx, bundle.GetHead(), address, func(_ context.Context, _ config.Head, bodies map[config.Hash][]byte) error {
+	return k.adopt(ctx, bundle.GetHead(), address, fromBundle(bundle))
+}
+
+func fromBundle(bundle *pb.ConfigBundle) fetchFunc {
+	return func(_ context.Context, _ config.Head, bodies map[config.Hash][]byte) error {
 		for _, d := range bundle.GetDocuments() {
 			bodies[config.HashOf(d.GetBody())] = d.GetBody()
 		}
 		return nil
-	})
+	}
 }
 
 func (k *Keeper) ask(ctx context.Context, address string, version uint64, hashes []string) (*pb.ConfigBundle, error) {
@@ -137,9 +142,13 @@
 	return response.GetConfig(), nil
 }
 
-// Handle answers ConfigPull with what the asker lacks; other requests get
-// neither an answer nor an error.
-func (k *Keeper) Handle(_ context.Context, _ string, req *pb.Request) (*pb.Response, error) {
+// Handle answers ConfigPull with what the asker lacks, and takes an accepted
+// version that an operator hands over in a View; other requests get neither an
+// answer nor an error.
+func (k *Keeper) Handle(ctx context.Context, from string, req *pb.Request) (*pb.Response, error) {
+	if bundle := req.GetView().GetConfig(); bundle != nil {
+		return k.handOver(ctx, from, bundle)
+	}
 	pull := req.GetConfigPull()
 	if pull == nil {
 		return nil, nil
@@ -147,6 +156,15 @@
 	return &pb.Response{Body: &pb.Response_Config{Config: k.visible().since(pull)}}, nil
 }
 
+// handOver takes a version that was accepted. It spares the processes the wait
+// for the key-value service, which may fail right after it accepted.
+func (k *Keeper) handOver(ctx context.Context, from string, bundle *pb.ConfigBundle) (*pb.Response, error) {
+	if err := k.adopt(ctx, bundle.GetHead(), from, fromBundle(bundle)); err != nil {
+		return nil, &contract.Error{Kind: contract.KindInvalid, Verdict: contract.NotRun, Message: "the configuration was not taken", Err: err}
+	}
+	return &pb.Response{Body: &pb.Response_Ack{Ack: &pb.Ack{}}}, nil
+}
+
 // since returns the documents that the asker lacks. When the head remembers
 // every change since the asker's version, these are the ones changed since.
 func (s *snapshot) since(pull *pb.ConfigPull) *pb.ConfigBundle {
--- a/internal/configstore/writer.go
+++ b/internal/configstore/writer.go
@@ -14,6 +14,7 @@
 
 	"kumquatyard/internal/config"
 	"kumquatyard/internal/contract"
+	pb "kumquatyard/proto/kumquat/v1"
 )
 
 // Outcome tells how a change ended.
@@ -47,6 +48,9 @@
 	Problems error
 	// Warnings are oddities of an accepted change's version.
 	Warnings []string
+	// Bundle is the version that holds an accepted change or a later one, for
+	// handing it to an agent; nil when it could not be read.
+	Bundle *pb.ConfigBundle
 }
 
 // ConflictText is a conflict with the bodies of both sides.
@@ -138,6 +142,9 @@
 		return Result{}, err
 	}
 	if result, settled := a.settle(head); settled {
+		if result.Outcome == Accepted {
+			result.Bundle = w.bundle(ctx, head.Head, head.data)
+		}
 		return result, nil
 	}
 	next, conflicts := config.Apply(head.Head, a.change)
@@ -200,7 +207,17 @@
 	if !swapped {
 		return Result{}, errors.New("swap head: another change came first")
 	}
-	return Result{Outcome: Accepted, Version: next.Version, Warnings: warnings}, nil
+	return Result{Outcome: Accepted, Version: next.Version, Warnings: warnings, Bundle: w.bundle(ctx, next, data)}, nil
+}
+
+// bundle returns a version with its documents, nil when they cannot be read.
+func (w *Writer) bundle(ctx context.Context, head config.Head, data []byte) *pb.ConfigBundle {
+	bodies, err := w.bodiesOf(ctx, head, config.Change{})
+	if err != nil {
+		return nil
+	}
+	s := snapshot{head: head, data: data, bodies: bodies}
+	return s.bundle(everyDocument)
 }
 
 // writeBlobs stores the bodies that the next head refers to, and head itself
--- a/internal/ctl/agent.go
+++ b/internal/ctl/agent.go
@@ -148,3 +148,18 @@
 	}
 	return a.print(explanation{RequestID: id, Lines: lines})
 }
+
+// handOver gives an accepted version to the agent of the settings, from which
+// all others learn of it even when the key-value service fails now. It returns
+// the agent's address, or "" when the agent could not be reached: the agents
+// that watch the key-value service need no help in the ordinary case.
+func (a *app) handOver(ctx context.Context, bundle *pb.ConfigBundle) string {
+	if bundle == nil || (a.Keys == "" && a.caller == nil) {
+		return ""
+	}
+	_, err := a.call(ctx, &pb.Request{Body: &pb.Request_View{View: &pb.View{Config: bundle}}})
+	if err != nil {
+		return ""
+	}
+	return a.Agent
+}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -36,7 +36,7 @@
 			return err
 		}
 		if result.Outcome != configstore.Conflicted {
-			return a.report(change.ID, result, nil)
+			return a.report(ctx, change.ID, result, nil)
 		}
 	}
 	return fmt.Errorf("the override of %s kept changing; nothing was changed", id)
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 
@@ -43,6 +44,8 @@
 	Outcome  string `json:"outcome"`
 	ChangeID string `json:"change_id,omitempty"`
 	Version  uint64 `json:"version,omitempty"`
+	// Agent took the accepted version; empty when it is left to the agents' watches.
+	Agent string `json:"agent,omitempty"`
 	// Advice says what to do next.
 	Advice    string         `json:"advice,omitempty"`
 	Problems  string         `json:"problems,omitempty"`
@@ -69,8 +72,8 @@
 	for _, c := range o.Conflicts {
 		out = append(out, c.table())
 	}
-	t := newTable("Result", "outcome", "change", "version", "advice")
-	t.AppendRow(table.Row{o.Outcome, o.ChangeID, o.Version, o.Advice})
+	t := newTable("Result", "outcome", "change", "version", "handed to agent", "advice")
+	t.AppendRow(table.Row{o.Outcome, o.ChangeID, o.Version, o.Agent, o.Advice})
 	out = append(out, t)
 	if o.Problems != "" {
 		problems := newTable("Problems")
@@ -103,11 +106,12 @@
 }
 
 // report prints the result of a change and returns its exit code as an error.
-func (a *app) report(id string, result configstore.Result, changes []rowChange) error {
+func (a *app) report(ctx context.Context, id string, result configstore.Result, changes []rowChange) error {
 	o := outcome{Outcome: result.Outcome.String(), ChangeID: id, Version: result.Version, Warnings: result.Warnings, Changes: changes}
 	code := ExitAccepted
 	switch result.Outcome {
 	case configstore.Accepted:
+		o.Agent = a.handOver(ctx, result.Bundle)
 	case configstore.Conflicted:
 		code = ExitConflict
 		o.Advice = "read the documents again, merge both edits and apply"
--- a/internal/ctl/rules.go
+++ b/internal/ctl/rules.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	return a.report(change.ID, result, rows)
+	return a.report(ctx, change.ID, result, rows)
 }
 
 type documentRow struct {
