--- a/internal/configstore/keeper.go
+++ b/internal/configstore/keeper.go
@@ -19,10 +19,12 @@
 )
 
 var (
+	versionGauge  = metrics.NewGauge("kumquat_config_version", nil)
 	adoptedTotal  = metrics.NewCounter("kumquat_config_adopted_total")
 	rejectedTotal = metrics.NewCounter("kumquat_config_rejected_total")
 	behindTotal   = metrics.NewCounter("kumquat_config_store_behind_total")
 	pullsTotal    = metrics.NewCounter("kumquat_config_pulls_total")
+	collected     = metrics.NewCounter("kumquat_config_blobs_deleted_total")
 	watchesTotal  = metrics.NewCounter("kumquat_config_watches_replaced_total")
 )
 
@@ -113,6 +115,7 @@
 	var loops conc.WaitGroup
 	loops.Go(func() { k.follow(ctx) })
 	loops.Go(func() { k.pullLoop(ctx) })
+	loops.Go(func() { k.collectLoop(ctx) })
 	loops.Wait()
 	return nil
 }
@@ -232,6 +235,7 @@
 	}
 	k.current.Store(&snapshot{head: head, data: data, bodies: maps.Clone(bodies), config: built})
 	adoptedTotal.Inc()
+	versionGauge.Set(float64(head.Version))
 	log.Info("configuration adopted")
 	if k.started.Load() {
 		k.notify()
