claimshard: an owner out of the membership's sight is asked before its shard is taken

Cause: the membership of a large fleet is per zone, so that the agents of two zones took each other's owners for dead and the shards went to and fro: safe, but each takeover reads the whole shard.

--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -77,14 +77,17 @@
 	limits  Limits
 	limiter *rate.Limiter
 
-	phase     phase
-	calling   bool
-	call      Op
-	live      map[string]bool
-	leave     bool
-	failing   bool
-	retryAt   time.Time
-	takeovers uint64
+	phase   phase
+	calling bool
+	call    Op
+	live    map[string]bool
+	// suspect owns the shard and is not known to be live, gone was proved not
+	// to answer.
+	suspect, gone string
+	leave         bool
+	failing       bool
+	retryAt       time.Time
+	takeovers     uint64
 
 	head      *pb.ClaimHead
 	headIndex uint64
@@ -148,6 +151,25 @@
 // to own a shard, never who may grant.
 func (s *Shard) SetLive(live map[string]bool) { s.live = live }
 
+// Suspect returns the owner, and its address, that keeps this process from
+// taking the shard over although the membership does not know it as live: it
+// may be gone, or out of the membership's sight. Empty when there is none.
+func (s *Shard) Suspect() (owner, address string) {
+	if s.suspect == "" {
+		return "", ""
+	}
+	return s.suspect, s.known
+}
+
+// Probed takes the result of asking a suspect whether it lives.
+func (s *Shard) Probed(now time.Time, owner string, lives bool) {
+	s.suspect = ""
+	if !lives {
+		s.gone = owner
+		s.Acquire(now)
+	}
+}
+
 // Acquire starts to take the shard over unless a live peer owns it.
 func (s *Shard) Acquire(now time.Time) {
 	if s.phase != idle || now.Before(s.retryAt) {
--- a/internal/claim/takeover.go
+++ b/internal/claim/takeover.go
@@ -73,7 +73,10 @@
 		}
 		s.head, s.headIndex = head, r.Entries[0].Index
 	}
-	if other := s.head.GetOwner(); s.leave || (other != "" && other != s.owner && s.live[other]) {
+	if other := s.head.GetOwner(); s.leave || !s.takeable(other) {
+		if !s.leave && !s.live[other] {
+			s.suspect = other
+		}
 		s.dropOwnership(s.head.GetAddress())
 		return
 	}
@@ -83,6 +86,12 @@
 	s.phase = takingHead
 }
 
+// takeable reports whether a shard of owner may be tried for. Without a
+// membership every shard may.
+func (s *Shard) takeable(owner string) bool {
+	return owner == "" || owner == s.owner || s.live == nil || (!s.live[owner] && owner == s.gone)
+}
+
 func (s *Shard) doneTaking(now time.Time, r Result) {
 	if r.Effect != Done || !r.Swapped {
 		s.restart(now, r)
--- a/internal/claimshard/bench_test.go
+++ b/internal/claimshard/bench_test.go
@@ -87,7 +87,7 @@
 			for range b.N {
 				kv, client := benchKV(b)
 				o, stop := benchOwner(b, client)
-				measure(b, rate, kv, func(key string) error { return claimAt(o, key) }, func(key string) error { return settleAt(o, key, answer) })
+				measure(b, rate, kv, func(key string) error { return claimAt(o, key, key) }, func(key string) error { return settleAt(o, key, answer) })
 				stop()
 			}
 		})
@@ -126,9 +126,9 @@
 	return o, func() { cancel(); running.Wait() }
 }
 
-func claimAt(o *Owner, key string) error {
+func claimAt(o *Owner, key, run string) error {
 	resp, err := o.Handle(context.Background(), "", &pb.Request{Body: &pb.Request_Claim{Claim: &pb.ClaimRequest{
-		Key: claim.Key("w", key), Fingerprint: claim.Key("f", key), RunId: key, RequestId: key, RunTimeoutMs: 10000,
+		Key: claim.Key("w", key), Fingerprint: claim.Key("f", key), RunId: run, RequestId: run, RunTimeoutMs: 10000,
 	}}})
 	if err == nil && resp.GetClaim().GetOutcome() != pb.ClaimOutcome_CLAIM_OUTCOME_GRANTED {
 		return fmt.Errorf("not granted: %v", resp.GetClaim().GetOutcome())
--- a/internal/claimshard/fakes_test.go
+++ b/internal/claimshard/fakes_test.go
@@ -184,6 +184,9 @@
 	if a.frozen[i].Load() || a.chance(a.cut) {
 		return nil, refused()
 	}
+	if req.GetStatus() != nil {
+		return &pb.Response{Body: &pb.Response_Status{Status: &pb.StatusReply{Self: a.peer(i)}}}, nil
+	}
 	resp, err := a.owners[i].Handle(ctx, "", req)
 	if a.frozen[i].Load() || a.chance(a.cut) {
 		return nil, lost()
--- a/internal/claimshard/owner.go
+++ b/internal/claimshard/owner.go
@@ -28,6 +28,8 @@
 	rebalanceAfter = 10 * time.Second
 	// callTimeout bounds one key-value call.
 	callTimeout = 2 * time.Second
+	// probeTimeout bounds asking an owner whether it lives.
+	probeTimeout = time.Second
 	// stopTimeout bounds the hand-over of the shards at a planned stop.
 	stopTimeout = 5 * time.Second
 )
--- a/internal/claimshard/worker.go
+++ b/internal/claimshard/worker.go
@@ -35,6 +35,9 @@
 	// to own itself; both belong to the goroutine that follows the membership.
 	seen  *view
 	tried time.Time
+
+	// probing is set while a suspect owner is asked.
+	probing bool
 }
 
 func newWorker(o *Owner, number int) *worker {
@@ -84,9 +87,34 @@
 		}
 	}
 	w.publish()
+	w.probe(ctx)
 	return wake
 }
 
+// probe asks an owner that the membership does not know whether it lives. A
+// membership that sees only a part of the agents must not move their shards.
+func (w *worker) probe(ctx context.Context) {
+	owner, address := w.shard.Suspect()
+	if owner == "" || w.probing {
+		return
+	}
+	w.probing = true
+	w.calls.Go(func() {
+		lives := w.owner.lives(ctx, owner, address)
+		w.send(func(now time.Time) {
+			w.probing = false
+			w.shard.Probed(now, owner, lives)
+		})
+	})
+}
+
+func (o *Owner) lives(ctx context.Context, owner, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := o.opts.Caller.Call(ctx, address, &pb.Request{Body: &pb.Request_Status{Status: &pb.StatusRequest{}}})
+	return err == nil && claim.OwnerOf(resp.GetStatus().GetSelf()) == owner
+}
+
 func (w *worker) publish() {
 	w.active.Store(!w.shard.Idle())
 	if owning := w.shard.Owning(); w.owning.Swap(owning) != owning {
