claimshard: test of the planned stop; gateway gives a claim back after any doubtful call

The gateway settled a claim as not run only when the last of its calls was in doubt; an earlier one counts too, or the key would stay taken by a run that never starts.

--- a/internal/claimshard/owner_test.go
+++ b/internal/claimshard/owner_test.go
@@ -58,3 +58,41 @@
 		t.Errorf("%d takeovers of %d shards, want one each", got, shards)
 	}
 }
+
+// A planned stop commits what is queued and hands the shards over: no claim
+// that arrives meanwhile, here or at a peer, is refused.
+func TestPlannedStop(t *testing.T) {
+	const shards, claims = 4, 200
+	s := newStore()
+	a := newAgents(s, 2, Settings{Shards: shards}, historyLimits, 1, 0)
+	bothCtx, stopBoth := context.WithCancel(t.Context())
+	firstCtx, stopFirst := context.WithCancel(bothCtx)
+	defer stopFirst()
+	var second, work conc.WaitGroup
+	second.Go(func() { _ = a.owners[1].Run(bothCtx) })
+	defer second.Wait()
+	defer stopBoth()
+	stopped := make(chan struct{})
+	go func() {
+		_ = a.owners[0].Run(firstCtx)
+		a.frozen[0].Store(true)
+		close(stopped)
+	}()
+	for n := range claims {
+		if n == claims/2 {
+			stopFirst()
+		}
+		work.Go(func() {
+			key := fmt.Sprint("key", n)
+			if err := claimAt(a.owners[n%2], key, "run-"+key); err != nil {
+				t.Errorf("claim of %s at agent %d: %v", key, n%2, err)
+			}
+		})
+		time.Sleep(time.Millisecond)
+	}
+	work.Wait()
+	<-stopped
+	if n := a.owners[0].Owned(); n != 0 {
+		t.Errorf("the stopped agent owns %d shards", n)
+	}
+}
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -77,6 +77,7 @@
 // meanwhile is given back.
 func (g *Gateway) callForClaim(ctx context.Context, message *pb.ClaimRequest) (*pb.ClaimReply, error) {
 	var last *contract.Error
+	doubt := false
 	for range claimCalls {
 		callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		resp, err := g.agent.Call(callCtx, g.settings.Agent, &pb.Request{Body: &pb.Request_Claim{Claim: message}})
@@ -85,13 +86,14 @@
 			return resp.GetClaim(), nil
 		}
 		last = asRefusal(err)
+		doubt = doubt || last.Verdict != contract.NotRun
 		if last.Verdict == contract.NotRun || ctx.Err() != nil {
 			break
 		}
 	}
 	refusal := notRun(contract.KindUnavailable, max(last.RetryAfter, retryAfterClaims), "the idempotency key cannot be claimed now")
 	refusal.Err = last
-	if last.Verdict != contract.NotRun {
+	if doubt {
 		g.activity.spawn(func() {
 			g.settle(message.GetKey(), message.GetRequestId(), message.GetRunId(), plainAnswer{}, refusal)
 		})
