--- a/internal/route/baseline.go
+++ b/internal/route/baseline.go
@@ -2,36 +2,6 @@
 
 import "math/bits"
 
-// Choose returns the server for r, and false when none may take it.
-func (v *View) Choose(r *Request) (Choice, bool) {
-	g := v.groups[groupKey{pool: r.Pool, model: r.Model}]
-	if g == nil {
-		return Choice{}, false
-	}
-	for i := range g.tiers {
-		if choice, ok := v.chooseFrom(&g.tiers[i], r); ok {
-			return choice, true
-		}
-	}
-	return Choice{}, false
-}
-
-func (v *View) chooseFrom(t *tier, r *Request) (Choice, bool) {
-	if len(t.members) == 0 {
-		return Choice{}, false
-	}
-	switch v.policy {
-	case policyRoundRobin:
-		return chooseRoundRobin(t, r)
-	case policyLeastOutstanding:
-		return chooseLeastOutstanding(t, r)
-	case policyPrefixHash:
-		return choosePrefixHash(t, r)
-	default:
-		return v.chooseKumquat(t, r)
-	}
-}
-
 // excluded reports whether m was tried already.
 func (r *Request) excluded(m *member) bool {
 	for _, id := range r.Exclude {
