admit: a refused request displaces nobody; route: readings at an interval

Cause: an offer that did not fit even after displacing others was refused after it had displaced them. The 32 readings of work in flight were taken at each view; a gateway that publishes often would have covered less than the lag of a report. Now 200 ms apart.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -194,7 +194,7 @@
 	if u.queuedTokens+r.Tokens > c.limits.WorkspaceTokens {
 		return c.refuse(r, WorkspaceFull, c.rate.drain(r.Tokens, c.slots))
 	}
-	if !c.makeRoom(now, &r) {
+	if !c.makeRoom(&r) {
 		return c.refuse(r, QueueFull, c.rate.drain(c.tokens+r.Tokens-c.limits.QueueTokens, c.slots))
 	}
 	c.enqueue(r)
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -54,6 +54,7 @@
 					r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "deadline")) * time.Millisecond)
 				}
 				workspace[r.ID] = r.Workspace
+				before := c.QueuedRequests()
 				d := c.Offer(now, r)
 				switch d.Status {
 				case admit.Admitted:
@@ -64,6 +65,9 @@
 					if d.RetryAfter <= 0 || d.Reason == 0 {
 						t.Fatalf("refusal without advice: %+v", d)
 					}
+					if c.QueuedRequests() != before {
+						t.Fatalf("a refused request displaced %d others", before-c.QueuedRequests())
+					}
 				}
 				if d.Status != admit.Refused {
 					held[r.Workspace]++
@@ -113,6 +117,9 @@
 			if running != c.Running() || queued != c.QueuedRequests() {
 				t.Fatalf("controller has %d running, %d queued; want %d, %d", c.Running(), c.QueuedRequests(), running, queued)
 			}
+			if queued > 0 && running == 0 && slots > 0 {
+				t.Fatalf("%d wait for %d idle slots", queued, slots)
+			}
 			for name, n := range held {
 				if n > inFlight {
 					t.Fatalf("workspace %s holds %d", name, n)
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -242,10 +242,14 @@
 
 // makeRoom reports whether the queue has room for r, after displacing the
 // newest requests of workspaces that hold more of the queue for their weight.
-func (c *Controller) makeRoom(now time.Time, r *Request) bool {
+// It displaces none when that would not make enough room.
+func (c *Controller) makeRoom(r *Request) bool {
+	held := float64(c.usageOf(r.Workspace).queuedTokens+r.Tokens) / c.weight(r.Workspace)
+	if c.excess(r.Workspace, held) < float64(c.tokens+r.Tokens-c.limits.QueueTokens) {
+		return false
+	}
 	for len(c.queued)+1 > c.limits.QueueRequests || c.tokens+r.Tokens > c.limits.QueueTokens {
-		own := float64(c.usageOf(r.Workspace).queuedTokens+r.Tokens) / c.weight(r.Workspace)
-		victim := c.largestHolder(r.Workspace, own)
+		victim := c.largestHolder(r.Workspace, held)
 		if victim == nil {
 			return false
 		}
@@ -254,6 +258,18 @@
 	return true
 }
 
+// excess returns the queued tokens of other workspaces that exceed the given
+// amount for each unit of weight.
+func (c *Controller) excess(except string, held float64) float64 {
+	sum := 0.0
+	for name, u := range c.usage {
+		if name != except {
+			sum += max(0, float64(u.queuedTokens)-held*c.weight(name))
+		}
+	}
+	return sum
+}
+
 // largestHolder returns the newest request, deferrable ones first, of the
 // workspace that holds the most tokens for its weight, or nil when none
 // exceeds the given amount.
--- a/internal/route/inflight.go
+++ b/internal/route/inflight.go
@@ -6,8 +6,12 @@
 	"time"
 )
 
-// marks is the number of past readings that an InFlight keeps.
-const marks = 32
+const (
+	// marks is the number of past readings that an InFlight keeps.
+	marks = 32
+	// markEvery is the least time between two of them.
+	markEvery = 200 * time.Millisecond
+)
 
 // InFlight counts the work that this gateway has sent to one server and that
 // has not finished. It outlives views and is safe for concurrent use.
@@ -51,8 +55,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := mark{at: now, requests: f.Requests(), tokens: f.Tokens()}
-	f.history[f.next] = current
-	f.next = (f.next + 1) % marks
+	if last := f.history[(f.next+marks-1)%marks]; now.Sub(last.at) >= markEvery {
+		f.history[f.next] = current
+		f.next = (f.next + 1) % marks
+	}
 	best := current
 	for _, m := range f.history {
 		if m.at.IsZero() {
