--- a/Makefile
+++ b/Makefile
@@ -62,3 +62,7 @@
 .PHONY: policy
 policy:
 	go run ./test/policy/table --seed $(SEED)
+
+.PHONY: overhead
+overhead: build
+	@bash scripts/overhead.sh
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,8 @@
 // Ready reports whether the process takes work.
 func (h *Health) Ready() bool { return h.ready.Load() }
 
-// Serve answers /metrics, /healthz and /readyz until ctx is done.
+// Serve answers /metrics, /healthz, /readyz and the profiles at /debug/pprof/
+// until ctx is done.
 func Serve(ctx context.Context, listen string, health *Health, extra map[string]http.Handler) error {
 	if listen == "" {
 		<-ctx.Done()
@@ -68,6 +70,8 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { writeReady(w, health) })
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	for pattern, handler := range extra {
 		mux.Handle(pattern, handler)
 	}
