--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -79,3 +79,33 @@
 		})
 	}
 }
+
+// BenchmarkCommitBytes makes claims one by one, each settled with an answer of
+// 300 bytes in a commit of its own: what a lone claim costs the service.
+func BenchmarkCommitBytes(b *testing.B) {
+	const keys = 5000
+	for _, segmentBytes := range []int{8 << 10, 16 << 10, 64 << 10} {
+		b.Run(fmt.Sprint(segmentBytes), func(b *testing.B) {
+			for range b.N {
+				d := &bench{now: time.Unix(1_800_000_000, 0), kv: &kv{entries: map[string]Entry{}}}
+				limits := DefaultLimits()
+				limits.SegmentBytes = segmentBytes
+				s := NewShard(0, "o/1", "", limits)
+				s.Acquire(d.now)
+				for n := range keys {
+					key, run := Key("w", fmt.Sprint(n)), fmt.Sprintf("%08d-0000-4000-8000-000000000000", n)
+					s.Claim(d.now, uint64(2*n+1), &pb.ClaimRequest{Key: key, Fingerprint: key, RunId: run, RequestId: run})
+					d.run(s)
+					s.Settle(d.now, uint64(2*n+2), &pb.ClaimSettle{
+						Key: key, RunId: run, Verdict: pb.Verdict_VERDICT_RAN,
+						Answer: &pb.StoredAnswer{Status: 201, ContentType: "application/json", Body: make([]byte, 300)},
+					})
+					d.now = d.now.Add(time.Second)
+					d.run(s)
+				}
+				b.ReportMetric(float64(d.kv.writes)/keys, "writes/claim")
+				b.ReportMetric(float64(d.kv.written)/keys, "bytes/claim")
+			}
+		})
+	}
+}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -69,13 +69,30 @@
 	return due
 }
 
+const (
+	// segmentCommits is the least number of commits that share the two writes
+	// of opening a segment, unless it grows to segmentGrowth times its size.
+	segmentCommits = 16
+	segmentGrowth  = 16
+)
+
 // rollDue reports whether the next commit goes to a new segment: the open one
-// is large, or opening one makes room in a full window.
+// is large, or opening one makes room in a full window. A commit rewrites the
+// open segment, so that small segments save bytes and large ones save writes.
 func (s *Shard) rollDue(now time.Time) bool {
-	return len(s.open.value) >= s.limits.SegmentBytes || (s.full() && s.expired(now) > 0)
+	size := len(s.open.value)
+	large := size >= s.limits.SegmentBytes && s.open.writes > segmentCommits
+	return large || size >= segmentGrowth*s.limits.SegmentBytes || (s.full() && s.stale(now))
 }
 
-func (s *Shard) full() bool { return len(s.table.windows) >= s.limits.MaxSegments }
+func (s *Shard) full() bool {
+	return len(s.table.windows) >= s.limits.MaxSegments || len(s.table.entries) >= s.limits.MaxKeys
+}
+
+// stale reports whether retention no longer holds the oldest segment.
+func (s *Shard) stale(now time.Time) bool {
+	return s.table.windows[0].newest.Before(now.Add(-s.limits.Retention - clockMargin))
+}
 
 // expired counts the segments that retention no longer holds.
 func (s *Shard) expired(now time.Time) int {
--- a/internal/claim/request.go
+++ b/internal/claim/request.go
@@ -126,7 +126,7 @@
 
 func (s *Shard) admitNew(now time.Time, it *item) {
 	switch {
-	case s.full() && s.expired(now) == 0:
+	case s.full() && !s.stale(now):
 		oldest := s.table.windows[0].newest.Add(s.limits.Retention + clockMargin)
 		s.refuse(it, overloaded(max(oldest.Sub(now), time.Second)))
 	case len(s.queue) >= s.limits.Queue:
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -12,9 +12,12 @@
 type Limits struct {
 	// Retention is how long a claim and its outcome are remembered.
 	Retention time.Duration
-	// MaxSegments bounds the memory of a shard; claims are refused beyond it.
+	// MaxKeys and MaxSegments bound the memory of a shard; claims are refused
+	// beyond them.
+	MaxKeys     int
 	MaxSegments int
-	// SegmentBytes is the size at which a new segment is opened.
+	// SegmentBytes is the size at which a new segment is opened, once the open
+	// one has taken segmentCommits commits.
 	SegmentBytes int
 	// BatchBytes bounds the records of one commit.
 	BatchBytes int
@@ -35,8 +38,9 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Retention:       24 * time.Hour,
-		MaxSegments:     1024,
-		SegmentBytes:    64 << 10,
+		MaxKeys:         100_000,
+		MaxSegments:     8192,
+		SegmentBytes:    8 << 10,
 		BatchBytes:      128 << 10,
 		AnswerBytes:     16 << 10,
 		Queue:           4096,
--- a/internal/claimshard/settings.go
+++ b/internal/claimshard/settings.go
@@ -15,10 +15,10 @@
 	// Retention is how long a key is remembered after its claim.
 	Retention time.Duration `yaml:"retention" validate:"min=60000000000"`
 	// SegmentBytes is the size at which a shard opens a new segment.
-	SegmentBytes int `yaml:"segment_bytes" validate:"min=1024,max=262144"`
-	// MaxSegments bounds the memory of a shard; when all of them are younger
-	// than Retention, new keys are refused.
-	MaxSegments int `yaml:"max_segments" validate:"min=4"`
+	SegmentBytes int `yaml:"segment_bytes" validate:"min=1024,max=32768"`
+	// MaxKeys bounds the memory of a shard; while none of them is older than
+	// Retention, new keys are refused.
+	MaxKeys int `yaml:"max_keys" validate:"min=100"`
 }
 
 // DefaultSettings suit both deployments and a service of several hundred
@@ -30,14 +30,14 @@
 		WritesPerSecond: 160,
 		Retention:       limits.Retention,
 		SegmentBytes:    limits.SegmentBytes,
-		MaxSegments:     limits.MaxSegments,
+		MaxKeys:         limits.MaxKeys,
 	}
 }
 
 // limits returns the bounds of one shard.
 func (s Settings) limits() claim.Limits {
 	l := claim.DefaultLimits()
-	l.Retention, l.SegmentBytes, l.MaxSegments = s.Retention, s.SegmentBytes, s.MaxSegments
+	l.Retention, l.SegmentBytes, l.MaxKeys = s.Retention, s.SegmentBytes, s.MaxKeys
 	l.WritesPerSecond = s.WritesPerSecond / float64(s.Shards)
 	return l
 }
