--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -16,9 +16,6 @@
 	// maxCandidates bounds the servers whose cost is computed.
 	maxCandidates = levels*(homes+1) + samples
 
-	// recomputeWeight is the weight of prompt processing against waiting: what
-	// is computed also delays others and evicts what they would reuse.
-	recomputeWeight = 1
 	// reusePrecision is the part of a cached prefix that may go unnoticed.
 	reusePrecision = 8
 	// coldSeconds is the cost of a model that has to be loaded first.
@@ -89,8 +86,8 @@
 // chooseKumquat compares the estimated time to the first token, priced with
 // the risk of losing it, over few candidates: the rendezvous homes of the
 // prompt at depths that double, which later prompts with the same beginning
-// share, and servers sampled at random, which bound the herd that lagging
-// reports would cause.
+// share, the last known holders of these blocks, and servers sampled at random
+// for prompts that no one holds.
 func (v *View) chooseKumquat(t *tier, r *Request) (Choice, bool) {
 	var set candidates
 	set.addHomes(t, r, v.index)
@@ -259,7 +256,7 @@
 	if c.home {
 		credit = max(credit, homeShare*float64(r.PromptTokens))
 	}
-	cost := m.wait() + recomputeWeight*m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
+	cost := m.wait() + m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
 	if m.cold {
 		cost += coldSeconds
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -226,3 +227,24 @@
 		route.NewView(in)
 	}
 }
+
+// BenchmarkCacheBuilderMemory measures the bytes held for each block of a server.
+func BenchmarkCacheBuilderMemory(b *testing.B) {
+	const blocks, servers = 4000, 50
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		views := make([]route.CacheView, servers)
+		builders := make([]route.CacheBuilder, servers)
+		for i := range views {
+			builders[i].Added(chain(uint64(i), blocks)...)
+			views[i] = builders[i].View()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/blocks/servers, "B/block")
+		runtime.KeepAlive(views)
+		runtime.KeepAlive(builders)
+	}
+}
--- a/test/policy/policy_test.go
+++ b/test/policy/policy_test.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// Reports that are four times as late draw the gateways to one server no more
+// than fresh ones do: the most loaded server is no more than a quarter further
+// over the mean.
+func TestLateReportsMakeNoHerd(t *testing.T) {
+	for _, mix := range []policy.Mix{policy.Lanternfold(), policy.Matrizeria()} {
+		t.Run(mix.Name, func(t *testing.T) {
+			t.Parallel()
+			fresh, late := run(named(t, "half load"), mix, "kumquat"), run(named(t, "reports 4 s late"), mix, "kumquat")
+			if late.Imbalance() > 1.25*fresh.Imbalance() {
+				t.Errorf("imbalance %.2f with late reports, %.2f with fresh ones", late.Imbalance(), fresh.Imbalance())
+			}
+		})
+	}
+}
+
 // A run is a function of its scenario.
 func TestRunIsDeterministic(t *testing.T) {
 	c := named(t, "twice saturation")
