--- a/internal/configstore/keeper_test.go
+++ b/internal/configstore/keeper_test.go
@@ -70,6 +70,51 @@
 	await(t, "second", func() bool { return k.Version() == 2+2*parallelReads })
 }
 
+// TestOutageJustAfterAcceptance fails the store before any watch has answered:
+// the operator hands the version over, and the nodes pull it from one another.
+func TestOutageJustAfterAcceptance(t *testing.T) {
+	t.Parallel()
+	s := newFakeKV(1)
+	r := newFleetRun(s)
+	mustApply(t, s.open(), "first", "overrides/a", "drain: true\n")
+	ctx, stop := context.WithCancel(t.Context())
+	var fleet conc.WaitGroup
+	defer fleet.Wait()
+	defer stop()
+	for _, n := range r.nodes {
+		fleet.Go(func() { _ = n.keeper.Run(ctx) })
+	}
+	fleet.Go(func() { r.heartbeat(ctx, 1) })
+	r.final = 1
+	r.awaitAll(t)
+	faulty := &faultAtHead{KV: s.open(), before: func() { s.inject(faults{silent: true}) }}
+	w := NewWriter(&afterHead{faulty, func() { s.inject(faults{down: true}) }})
+	result, err := w.Apply(ctx, override("second", "overrides/b", "drain: true\n", config.Head{}))
+	if err != nil || result.Outcome != Accepted {
+		t.Fatalf("%+v, %v", result, err)
+	}
+	handOver := &pb.Request{Body: &pb.Request_View{View: &pb.View{Config: result.Bundle}}}
+	if _, err := r.nodes[5].keeper.Handle(ctx, "ctl", handOver); err != nil {
+		t.Fatal(err)
+	}
+	r.final = 2
+	r.awaitAll(t)
+}
+
+// afterHead calls then as soon as the head was swapped.
+type afterHead struct {
+	KV
+	then func()
+}
+
+func (k *afterHead) CompareAndSwap(ctx context.Context, key string, value []byte, index uint64) (uint64, bool, error) {
+	newIndex, swapped, err := k.KV.CompareAndSwap(ctx, key, value, index)
+	if key == headKey {
+		k.then()
+	}
+	return newIndex, swapped, err
+}
+
 func TestPeerSendsOnlyWhatChanged(t *testing.T) {
 	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
@@ -163,7 +208,7 @@
 func TestCollectorKeepsWhatAWriterIsAboutToName(t *testing.T) {
 	kv := newFakeKV(1).open()
 	mustApply(t, kv, "1", "overrides/a", "drain: true\n")
-	collector, now, deleted := NewCollector(kv), time.Unix(0, 0), 0
+	collector, now, deleted := NewCollector(kv), time.Unix(0, 0).Add(collectEvery), 0
 	collect := func() {
 		for range 2 {
 			n, err := collector.Collect(t.Context(), now)
@@ -171,7 +216,7 @@
 				t.Fatal(err)
 			}
 			deleted += n
-			now = now.Add(2 * minBlobAge)
+			now = now.Add(collectEvery)
 		}
 	}
 	mustApply(t, &collectingKV{kv, collect}, "2", "overrides/a", "drain: false\n")
@@ -182,3 +227,35 @@
 		t.Errorf("a committed head names a blob that is gone: %v", err)
 	}
 }
+
+// TestCollectorDeletesWhatIsForgotten makes more changes than are remembered.
+func TestCollectorDeletesWhatIsForgotten(t *testing.T) {
+	t.Parallel()
+	kv := newFakeKV(1).open()
+	const extra = 20
+	w, head := NewWriter(kv), config.Head{}
+	for i := range keptHeads + extra {
+		change := override(fmt.Sprint(i), "overrides/a", fmt.Sprintf("note: %d\n", i), head)
+		if result, err := w.Apply(t.Context(), change); err != nil || result.Outcome != Accepted {
+			t.Fatalf("%+v, %v", result, err)
+		}
+		head, _ = config.Apply(head, change)
+	}
+	now := time.Unix(0, 0)
+	collect := func(want int) {
+		t.Helper()
+		now = now.Add(collectEvery)
+		if n, err := NewCollector(kv).Collect(t.Context(), now); err != nil || n != want {
+			t.Errorf("%d blobs deleted, want %d; %v", n, want, err)
+		}
+	}
+	collect(0)
+	// Version n of the document is in head n, which is stored with head n+1.
+	// The newest head and its keptHeads-1 ancestors keep their documents; one
+	// more ancestor is kept as a blob.
+	collect(extra + extra - 1)
+	collect(0)
+	if _, _, err := NewWriter(kv).Read(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
