--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -24,7 +24,7 @@
 	DropEvents float64 `json:"drop_events" yaml:"drop_events"`
 	// RefuseStarts refuses new instances.
 	RefuseStarts bool `json:"refuse_starts" yaml:"refuse_starts"`
-	// LateStartMS delays the day an accepted instance appears in the list.
+	// LateStartMS delays the time at which an accepted instance becomes live.
 	LateStartMS int `json:"late_start_ms" yaml:"late_start_ms"`
 	// SlowFactor multiplies the time that work takes; 0 is 1.
 	SlowFactor float64 `json:"slow_factor" yaml:"slow_factor"`
