--- a/internal/load/overheadreport.go
+++ b/internal/load/overheadreport.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"github.com/jedib0t/go-pretty/v6/table"
 )
 
 // WriteOverhead writes overhead.md into directory.
@@ -14,15 +16,15 @@
 		return fmt.Errorf("report: %w", err)
 	}
 	o = o.withDefaults()
-	text := fmt.Sprintf("# Overhead of the gateway\n\n%s %s, %d rounds of %v slices in turn, %d connections to saturate, %.0f requests/s for the latency.\n\n%s",
-		o.Method, o.Path, o.Rounds, o.Slice, o.Connections, result.Rate, result.table())
+	text := fmt.Sprintf("# Overhead of the gateway\n\n%s %s, %d rounds of %v slices in turn, %d connections to saturate, %.0f requests/s for the latency.\n\n%s\n",
+		o.Method, o.Path, o.Rounds, o.Slice, o.Connections, result.Rate, result.table().RenderMarkdown())
 	if err := os.WriteFile(filepath.Join(directory, "overhead.md"), []byte(text), 0o644); err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
 	return nil
 }
 
-func (r *OverheadResult) table() *markdownTable {
+func (r *OverheadResult) table() table.Writer {
 	t := newTable("way", "p50", "p95", "p99", "requests/s (median)", "min", "max", "CPU/request", "errors")
 	for _, p := range []*PathResult{&r.Direct, &r.Gateway} {
 		row := append([]any{p.Name}, quantiles(p.Paced)...)
@@ -31,13 +33,13 @@
 			cpu = p.CPU.Round(100 * time.Nanosecond).String()
 		}
 		row = append(row, perSecond(median(p.PerSecond)), perSecond(slices.Min(p.PerSecond)), perSecond(slices.Max(p.PerSecond)), cpu, p.Errors)
-		t.add(row...)
+		t.AppendRow(row)
 	}
 	added := []any{"added"}
 	for _, percent := range []float64{50, 95, 99} {
 		added = append(added, milliseconds(quantile(r.Gateway.Paced, percent)-quantile(r.Direct.Paced, percent)))
 	}
-	t.add(append(added, "", "", "", "", "")...)
+	t.AppendRow(append(added, "", "", "", "", ""))
 	return t
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jedib0t/go-pretty/v6/table"
 )
 
 // maxViolations bounds the violations that a report shows.
@@ -66,13 +67,13 @@
 	}
 }
 
-func section(w io.Writer, title string, t *markdownTable) {
-	fmt.Fprintf(w, "\n## %s\n\n%s", title, t)
+func section(w io.Writer, title string, t table.Writer) {
+	fmt.Fprintf(w, "\n## %s\n\n%s\n", title, t.RenderMarkdown())
 }
 
 func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-func latencyTable(results []*TargetResult, group func(*TargetResult) map[string]*Stats) *markdownTable {
+func latencyTable(results []*TargetResult, group func(*TargetResult) map[string]*Stats) table.Writer {
 	t := newTable("", "target", "requests", "first p50", "p95", "p99", "between p50", "p95", "p99")
 	for _, name := range groupNames(results, group) {
 		for _, r := range results {
@@ -83,7 +84,7 @@
 			row := []any{name, r.Target.Name, stats.count()}
 			row = append(row, quantiles(stats.FirstToken)...)
 			row = append(row, quantiles(stats.Gaps)...)
-			t.add(row...)
+			t.AppendRow(row)
 		}
 	}
 	return t
@@ -115,7 +116,7 @@
 	return fmt.Sprintf("%.2f ms", inMilliseconds(d))
 }
 
-func outcomeTable(results []*TargetResult) *markdownTable {
+func outcomeTable(results []*TargetResult) table.Writer {
 	t := newTable("target", "requests", "ok", "refused", "failed", "lost", "unsent", "wrong", "resumes", "goodput/s", "sent late p99")
 	for _, r := range results {
 		total := make(map[Result]int)
@@ -127,36 +128,36 @@
 				total[result] += n
 			}
 		}
-		t.add(
+		t.AppendRow(table.Row{
 			r.Target.Name, requests, total[OK], total[Refused], total[Failed], total[Lost], total[Unsent], total[Wrong],
 			resumes, fmt.Sprintf("%.2f", r.goodput()), milliseconds(quantile(r.Late, 99)),
-		)
+		})
 	}
 	return t
 }
 
-func refusalTable(results []*TargetResult) *markdownTable {
+func refusalTable(results []*TargetResult) table.Writer {
 	t := newTable("target", "class", "verdict and type", "number", "told within p50", "p95", "p99")
 	for _, r := range results {
 		for _, class := range sorted(r.ByClass) {
 			stats := r.ByClass[class]
 			for _, verdict := range sorted(stats.Verdicts) {
 				row := []any{r.Target.Name, class, verdict, stats.Verdicts[verdict]}
-				t.add(append(row, quantiles(stats.Refusal)...)...)
+				t.AppendRow(append(row, quantiles(stats.Refusal)...))
 			}
 		}
 	}
 	return t
 }
 
-func tokenTable(results []*TargetResult) *markdownTable {
+func tokenTable(results []*TargetResult) table.Writer {
 	t := newTable("target", "generated", "prompt computed", "prompt reused", "needed at best", "computed again", "continued again", "cost", "KV writes", "KV reads")
 	for _, r := range results {
 		tokens := r.Truth.Tokens
-		t.add(
+		t.AppendRow(table.Row{
 			r.Target.Name, tokens.TokensGenerated, tokens.PromptTokensComputed, tokens.PromptTokensReused, r.IdealPromptTokens,
 			r.Recomputed(), tokens.TokensRecomputed, fmt.Sprintf("%.4f", r.Cost), r.Truth.KV.Writes, r.Truth.KV.Reads,
-		)
+		})
 	}
 	return t
 }
@@ -167,15 +168,15 @@
 	return int(r.Truth.Tokens.PromptTokensComputed) - r.IdealPromptTokens + int(r.Truth.Tokens.TokensRecomputed)
 }
 
-func violationTable(results []*TargetResult) *markdownTable {
+func violationTable(results []*TargetResult) table.Writer {
 	t := newTable("target", "promise", "what was seen")
 	for _, r := range results {
 		for i, v := range r.Violations {
 			if i == maxViolations {
-				t.add(r.Target.Name, "", fmt.Sprintf("and %d more", len(r.Violations)-i))
+				t.AppendRow(table.Row{r.Target.Name, "", fmt.Sprintf("and %d more", len(r.Violations)-i)})
 				break
 			}
-			t.add(r.Target.Name, v.Promise, v.Detail)
+			t.AppendRow(table.Row{r.Target.Name, v.Promise, v.Detail})
 		}
 	}
 	return t
