--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,9 +33,8 @@
 	rebuildInterval = 250 * time.Millisecond
 	// agentTimeout bounds a call to the agent that is not a claim.
 	agentTimeout = 2 * time.Second
-	// shareSlack lets a gateway use more than its even share of the slots,
-	// because load is never spread evenly over the gateways.
-	shareSlack = 1.5
+	// policyRoundRobin takes turns where the other policies draw lots.
+	policyRoundRobin = "round_robin"
 )
 
 var tracer = otel.Tracer("kumquatyard/gateway")
@@ -56,6 +55,7 @@
 	// incarnation tells this start of the process from earlier ones.
 	incarnation uint64
 	heartbeats  atomic.Uint64
+	turns       atomic.Uint64
 
 	lanes    sync.Map
 	hedgers  sync.Map
@@ -253,8 +253,8 @@
 		}
 		slots += slotsOf(s, state)
 	}
-	share := float64(slots) / float64(max(1, p.gateways)) * shareSlack
-	return max(1, int(share))
+	gateways := max(1, p.gateways)
+	return max(1, (slots+gateways-1)/gateways)
 }
 
 // stop refuses new work, lets accepted requests finish within the grace
@@ -276,5 +276,13 @@
 	return nil
 }
 
+// routeSeed returns the seed of one routing decision.
+func (g *Gateway) routeSeed() uint64 {
+	if g.keeper.load().cfg.Routing.Policy == policyRoundRobin {
+		return g.turns.Add(1)
+	}
+	return seed()
+}
+
 // seed returns a seed for one routing decision.
 func seed() uint64 { return rand.Uint64() }
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -91,7 +91,7 @@
 			break
 		}
 	}
-	refusal := notRun(contract.KindUnavailable, max(last.RetryAfter, retryAfterClaims), "the idempotency key cannot be claimed now")
+	refusal := notRun(contract.KindUnavailable, max(last.RetryAfter, retryAfterClaims), "the idempotency key cannot be claimed now; this call sent nothing, repeat it with the same key")
 	refusal.Err = last
 	if doubt {
 		g.activity.spawn(func() {
--- a/internal/gateway/picture.go
+++ b/internal/gateway/picture.go
@@ -21,6 +21,9 @@
 // resumeTokenLifetime is how long after an attempt began its stream may be resumed.
 const resumeTokenLifetime = time.Hour
 
+// indexBlockBits sizes the index of cached blocks: 2^18 slots of 8 bytes.
+const indexBlockBits = 18
+
 // picture is the immutable view that requests read.
 type picture struct {
 	cfg    *config.Config
@@ -47,6 +50,7 @@
 	sequence uint64
 	parser   configstore.Parser
 	caches   map[machine.ID]*route.CacheBuilder
+	index    *route.Index
 	detector *outlier.Detector
 	changed  func(*picture)
 }
@@ -56,6 +60,7 @@
 		zone:     zone,
 		tracker:  t,
 		caches:   make(map[machine.ID]*route.CacheBuilder),
+		index:    route.NewIndex(indexBlockBits),
 		detector: outlier.New(outlier.Settings{}),
 		changed:  changed,
 	}
@@ -114,10 +119,13 @@
 	for _, s := range v.GetServers() {
 		id := machine.ID(s.GetId())
 		state := stateFromProto(s, now)
+		if old := next.states[id]; old.Incarnation != 0 && old.Incarnation < state.Incarnation && k.caches[id] != nil {
+			k.caches[id].Reset()
+		}
 		next.states[id] = machine.Merge(next.states[id], state)
 		cache, ok := k.caches[id]
 		if !ok {
-			cache = new(route.CacheBuilder)
+			cache = route.NewCacheBuilder(id, k.index)
 			k.caches[id] = cache
 		}
 		if s.GetCacheGap() {
@@ -142,12 +150,15 @@
 			InFlight: k.tracker.server(id).inFlight,
 		}
 		if cache, ok := k.caches[id]; ok {
+			for _, prefix := range k.tracker.server(id).takePrefixes() {
+				cache.Added(prefix...)
+			}
 			server.CachePrefixes = cache.View()
 		}
 		servers = append(servers, server)
 	}
 	next.view = route.NewView(route.Input{
-		Zone: k.zone, Zones: next.cfg.Zones, Servers: servers, Routing: next.cfg.Routing, Now: now,
+		Zone: k.zone, Zones: next.cfg.Zones, Servers: servers, Routing: next.cfg.Routing, Now: now, Index: k.index,
 	})
 	k.current.Store(next)
 	k.changed(next)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,6 +54,7 @@
 	heartbeat time.Duration
 	moves     chan move
 	cached    int
+	firstByte time.Duration
 	out       []answer.Chunk
 	// position is what the evacuation of leaving servers reads of the run.
 	position atomic.Pointer[runPosition]
@@ -176,6 +177,8 @@
 
 func (r *run) firstToken(cached int) {
 	r.cached = cached
+	r.firstByte = time.Since(r.started)
+	r.g.tracker.server(r.server.ID).computed(r.req.prefix)
 	firstTokenSeconds.Update(since(r.started))
 }
 
@@ -238,7 +241,7 @@
 	return p.view.Choose(&route.Request{
 		Pool: r.req.contract.Pool, Model: r.req.model, Prefix: r.req.prefix,
 		PromptTokens: r.req.promptTokens + int(r.asm.Next()), MaxTokens: r.req.maxTokens,
-		Priority: r.req.contract.Priority, Exclude: r.exclude, Seed: seed(), Now: time.Now(),
+		Priority: r.req.contract.Priority, Exclude: r.exclude, Seed: r.g.routeSeed(), Now: time.Now(),
 	})
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -67,7 +67,8 @@
 	} else {
 		ans, err = g.sendOnce(c, ctx, req)
 	}
-	leave(admit.Outcome{Latency: time.Since(began), Failed: err != nil})
+	took := time.Since(began)
+	leave(admit.Outcome{Latency: took, FirstByte: took, Failed: err != nil})
 	if err != nil {
 		return err
 	}
@@ -136,7 +137,7 @@
 
 func (g *Gateway) choosePlain(req *plainRequest, exclude []machine.ID) (route.Choice, bool) {
 	return g.keeper.load().view.Choose(&route.Request{
-		Pool: req.who.contract.Pool, Priority: req.who.contract.Priority, Exclude: exclude, Seed: seed(), Now: time.Now(),
+		Pool: req.who.contract.Pool, Priority: req.who.contract.Priority, Exclude: exclude, Seed: g.routeSeed(), Now: time.Now(),
 	})
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 	}
 	finish := func(err error) {
 		r.close()
-		leave(admit.Outcome{Latency: time.Since(began), Failed: err != nil})
+		leave(admit.Outcome{Latency: time.Since(began), FirstByte: r.firstByte, Failed: err != nil})
 		done()
 	}
 	chunks, err := r.first()
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -18,6 +18,9 @@
 	failures  atomic.Uint64
 	mu        sync.Mutex
 	samples   []outlier.Sample
+	// prefixes were computed by the server for this gateway, whose cache
+	// events are still on their way.
+	prefixes [][]uint64
 	// leavingIncarnation is set when the server itself refused as leaving.
 	leavingIncarnation atomic.Uint64
 	// probedAt is when the server last confirmed that it serves, in Unix
@@ -51,6 +54,26 @@
 	return taken
 }
 
+// maxPrefixes bounds the prefixes that wait for the next routing view.
+const maxPrefixes = 64
+
+// computed records that the server holds a prefix in its cache now.
+func (t *serverTrack) computed(prefix []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.prefixes) < maxPrefixes {
+		t.prefixes = append(t.prefixes, prefix)
+	}
+}
+
+func (t *serverTrack) takePrefixes() [][]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	taken := t.prefixes
+	t.prefixes = nil
+	return taken
+}
+
 // tracker holds a serverTrack for each server ever used.
 type tracker struct{ servers sync.Map }
 
