Settings: a document that makes the YAML library panic is an error

Cause: a tagged scalar where a list is expected makes the library dereference nil; an agent that met such a document would have ended. Ruled out: our own code, the stack is all the library's. Change: the decoder's panic becomes an error.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/sourcegraph/conc/panics"
 )
 
 // ExitInvalid is the exit code of a process whose settings do not pass.
@@ -47,13 +48,23 @@
 
 // Decode is Load for data that is already in memory; file is used in errors.
 func Decode(file string, data []byte, out any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := decoder.Decode(out); err != nil && len(bytes.TrimSpace(data)) > 0 {
+	if err := decode(data, out); err != nil && len(bytes.TrimSpace(data)) > 0 {
 		return syntaxProblem(file, err)
 	}
 	return validate(file, data, out)
 }
 
+// decode turns a panic of the library, which some malformed documents cause,
+// into an error.
+func decode(data []byte, out any) (err error) {
+	var catcher panics.Catcher
+	catcher.Try(func() { err = yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(out) })
+	if caught := catcher.Recovered(); caught != nil {
+		return fmt.Errorf("is not valid YAML: %v", caught.Value)
+	}
+	return err
+}
+
 func syntaxProblem(file string, err error) error {
 	var syntax yaml.Error
 	if !errors.As(err, &syntax) {
@@ -94,7 +105,13 @@
 }
 
 // lineOf returns the line of key's value, or 0 when the key is absent.
-func lineOf(data []byte, key string) int {
+func lineOf(data []byte, key string) (line int) {
+	var catcher panics.Catcher
+	catcher.Try(func() { line = findLine(data, key) })
+	return line
+}
+
+func findLine(data []byte, key string) int {
 	path, err := yaml.PathString("$." + key)
 	if err != nil {
 		return 0
