--- a/internal/claimshard/serve.go
+++ b/internal/claimshard/serve.go
@@ -101,10 +101,10 @@
 		doubt = doubt || (err != nil && contract.VerdictOf(err) != contract.NotRun)
 		pause := pauses.NextBackOff()
 		if !o.again(m, resp, err) {
-			return resp, o.remember(err, doubt)
+			return resp, withDoubt(err, doubt)
 		}
 		if time.Now().Add(pause).After(deadline) || !sleep(ctx, pause) {
-			return nil, o.remember(noOwner(err), doubt)
+			return nil, withDoubt(noOwner(err), doubt)
 		}
 	}
 }
@@ -156,9 +156,9 @@
 	return errors.As(err, &e) && e.Err != nil
 }
 
-// remember raises the verdict of a failure after an attempt that may have been
+// withDoubt raises the verdict of a failure after an attempt that may have been
 // recorded.
-func (o *Owner) remember(err error, doubt bool) error {
+func withDoubt(err error, doubt bool) error {
 	var e *contract.Error
 	if err == nil || !doubt || !errors.As(err, &e) || e.Verdict != contract.NotRun {
 		return err
