gateway: servers and gateways that operators drained take no new work

Cause: kumquatctl drain wrote an override that nothing enforced. Seen red: TestDrain on the code before, where the drained gateway answers 200. After: it passes, and undrain brings both back.

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -125,7 +125,7 @@
 func receiversOf(p *picture) []*route.Server {
 	var out []*route.Server
 	for id, s := range p.cfg.Servers {
-		if s.Kind != machine.Engine || p.states[id].Lifecycle != machine.Serving {
+		if s.Kind != machine.Engine || p.state(id).Lifecycle != machine.Serving {
 			continue
 		}
 		if found := p.server(id); found != nil && !found.Ejected {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -73,6 +74,8 @@
 	engines  []*standin.Engine
 	services []*standin.Service
 	agent    *fakeAgent
+	head     config.Head
+	docs     map[string][]byte
 	bundle   *pb.ConfigBundle
 	states   []*pb.ServerState
 	sequence uint64
@@ -81,7 +84,7 @@
 }
 
 func newYard(t *testing.T, engines, services, gateways int, options standin.EngineOptions, others ...string) *yard {
-	y := &yard{t: t, agent: &fakeAgent{claims: make(map[string]*pb.ClaimReply), runs: make(map[string]string)}}
+	y := &yard{t: t, docs: make(map[string][]byte), agent: &fakeAgent{claims: make(map[string]*pb.ClaimReply), runs: make(map[string]string)}}
 	var inventory strings.Builder
 	inventory.WriteString("servers:\n")
 	for i := range engines {
@@ -97,7 +100,7 @@
 	for i, address := range others {
 		y.add(&inventory, fmt.Sprintf("other-%d", i), "engine", "chat", address)
 	}
-	y.bundle = testBundle(t, inventory.String())
+	y.change(testDocuments(inventory.String()))
 	for i := range gateways {
 		y.start(i)
 	}
@@ -124,9 +127,9 @@
 	y.states = append(y.states, &pb.ServerState{Id: id, Incarnation: 1, Lifecycle: pb.Lifecycle_LIFECYCLE_SERVING, Slots: 16})
 }
 
-func testBundle(t *testing.T, inventory string) *pb.ConfigBundle {
+func testDocuments(inventory string) map[string][]byte {
 	sum := sha256.Sum256([]byte(testKey))
-	docs := map[string][]byte{
+	return map[string][]byte{
 		"zones":       []byte("zones:\n  - {name: a, region: r}\n"),
 		"inventory/a": []byte(inventory),
 		"rules/w":     fmt.Appendf(nil, "name: w\nweight: 1\nmax_in_flight: 100\nretry_ratio: 1\napi_key_sha256: [%s]\n", hex.EncodeToString(sum[:])),
@@ -139,19 +142,26 @@
   - {id: k1, secret_hex: "` + strings.Repeat("ab", 32) + `"}
 `),
 	}
-	head, conflicts := config.Apply(config.Head{}, config.Change{ID: "c1", Puts: docs})
+}
+
+// change makes a change of the configuration; push sends it.
+func (y *yard) change(puts map[string][]byte) {
+	y.t.Helper()
+	change := config.Change{ID: fmt.Sprint(y.head.Version), BaseVersion: y.head.Version, BaseHashes: y.head.Documents, Puts: puts}
+	head, conflicts := config.Apply(y.head, change)
 	if len(conflicts) > 0 {
-		t.Fatalf("conflicts: %v", conflicts)
+		y.t.Fatalf("conflicts: %v", conflicts)
 	}
 	data, err := head.Marshal()
 	if err != nil {
-		t.Fatal(err)
+		y.t.Fatal(err)
 	}
-	bundle := &pb.ConfigBundle{Version: head.Version, Head: data}
-	for name, body := range docs {
-		bundle.Documents = append(bundle.Documents, &pb.ConfigDocument{Name: name, Hash: string(config.HashOf(body)), Body: body})
+	maps.Copy(y.docs, puts)
+	y.head = head
+	y.bundle = &pb.ConfigBundle{Version: head.Version, Head: data}
+	for name, body := range y.docs {
+		y.bundle.Documents = append(y.bundle.Documents, &pb.ConfigDocument{Name: name, Hash: string(config.HashOf(body)), Body: body})
 	}
-	return bundle
 }
 
 func (y *yard) start(i int) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 		if err := g.keeper.apply(body.View, time.Now()); err != nil {
 			return nil, err
 		}
-		g.health.SetReady(!g.draining.Load())
+		g.health.SetReady(!g.refusesWork())
 		return &pb.Response{Body: &pb.Response_Ack{Ack: &pb.Ack{}}}, nil
 	case *pb.Request_Explain:
 		return &pb.Response{Body: &pb.Response_Explain{Explain: g.journal.explain(body.Explain.GetRequestId())}}, nil
@@ -141,6 +141,11 @@
 	}
 }
 
+// refusesWork reports whether the gateway is stopping or drained by operators.
+func (g *Gateway) refusesWork() bool {
+	return g.draining.Load() || g.keeper.load().cfg.Drained[machine.ID(g.settings.ID)]
+}
+
 func (g *Gateway) self() *pb.Peer {
 	return &pb.Peer{
 		Id:          g.settings.ID,
@@ -247,7 +252,7 @@
 func slotShare(p *picture, pool string) int {
 	slots := 0
 	for id, s := range p.cfg.Servers {
-		state := p.states[id]
+		state := p.state(id)
 		if s.Pool != pool || state.Lifecycle > machine.Serving || state.Lifecycle == machine.Starting {
 			continue
 		}
--- a/internal/gateway/http.go
+++ b/internal/gateway/http.go
@@ -61,13 +61,13 @@
 // accept counts the request as accepted work, or refuses it when the gateway
 // is stopping or has no configuration.
 func (g *Gateway) accept(c fiber.Ctx) error {
-	if g.draining.Load() {
-		c.Set(fiber.HeaderConnection, "close")
-		return notRun(contract.KindUnavailable, retryAfterNotReady, "the gateway is stopping")
-	}
 	if g.keeper.load() == nil {
 		return notRun(contract.KindUnavailable, retryAfterNotReady, "the gateway has no configuration yet")
 	}
+	if g.refusesWork() {
+		c.Set(fiber.HeaderConnection, "close")
+		return notRun(contract.KindUnavailable, retryAfterNotReady, "the gateway takes no new work; go to another one")
+	}
 	ctx := otel.GetTextMapPropagator().Extract(context.Background(), requestCarrier{c})
 	ctx, span := tracer.Start(ctx, "gateway.request", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("http.method", c.Method()), attribute.String("http.path", c.Path())))
--- a/internal/gateway/picture.go
+++ b/internal/gateway/picture.go
@@ -167,7 +167,7 @@
 	ejected := k.detector.Update(now, members(near))
 	servers := make([]route.Server, 0, len(near))
 	for _, s := range near {
-		servers = append(servers, k.routed(s, next.states[s.ID], ejected[s.ID]))
+		servers = append(servers, k.routed(s, next.state(s.ID), ejected[s.ID]))
 	}
 	next.near = k.newView(next, servers, now)
 	if k.farConfig != next.cfg || k.farObserved != len(near) {
@@ -179,6 +179,16 @@
 	k.changed(next)
 }
 
+// state returns what is known of a server. One that operators drained counts
+// as leaving for as long as the configuration says so.
+func (p *picture) state(id machine.ID) machine.State {
+	s := p.states[id]
+	if p.cfg.Drained[id] {
+		s.Lifecycle = max(s.Lifecycle, machine.Leaving)
+	}
+	return s
+}
+
 // observed returns the configured servers whose state is known.
 func observed(p *picture) []machine.Server {
 	out := make([]machine.Server, 0, len(p.states))
@@ -213,7 +223,7 @@
 	var servers []route.Server
 	for id, s := range p.cfg.Servers {
 		if _, known := p.states[id]; !known {
-			servers = append(servers, k.routed(s, machine.State{}, false))
+			servers = append(servers, k.routed(s, p.state(id), false))
 		}
 	}
 	if len(servers) == 0 {
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -177,3 +178,33 @@
 		t.Errorf("status = %d, want 200", resp.StatusCode)
 	}
 }
+
+// TestDrain drains a server and a gateway by rule, and takes it back.
+func TestDrain(t *testing.T) {
+	y := newYard(t, 0, 2, 2, quickEngine)
+	book := func(url, key string) *http.Response {
+		return y.do("POST", url+"/bookings", map[string]string{headerIdempotencyKey: key}, nil)
+	}
+	y.change(map[string][]byte{"overrides/service-0": []byte("drain: true\n"), "overrides/g1": []byte("drain: true\n")})
+	y.push()
+	for i := range 6 {
+		book(y.urls[0], fmt.Sprint("drained", i))
+	}
+	if n := len(y.services[0].Runs().ByKey); n != 0 {
+		t.Errorf("the drained server ran %d bookings", n)
+	}
+	resp := book(y.urls[1], "refused")
+	if got := verdictOf(t, resp); resp.StatusCode != 503 || got != "not_run" {
+		t.Errorf("drained gateway: status %d, verdict %q", resp.StatusCode, got)
+	}
+	y.change(map[string][]byte{"overrides/service-0": []byte("drain: false\n"), "overrides/g1": []byte("drain: false\n")})
+	y.push()
+	for i := range 20 {
+		if resp := book(y.urls[1], fmt.Sprint("undrained", i)); resp.StatusCode != 200 {
+			t.Errorf("undrained gateway: status %d", resp.StatusCode)
+		}
+	}
+	if n := len(y.services[0].Runs().ByKey); n == 0 {
+		t.Error("the undrained server got no booking")
+	}
+}
