--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,7 @@
 	// reportInterval is the time between reports to the agent.
 	reportInterval = time.Second
 	// rebuildInterval is the time between views rebuilt from own observations.
-	rebuildInterval = 250 * time.Millisecond
+	rebuildInterval = 500 * time.Millisecond
 	// agentTimeout bounds a call to the agent that is not a claim.
 	agentTimeout = 2 * time.Second
 	// policyRoundRobin takes turns where the other policies draw lots.
