--- a/internal/gateway/chat_test.go
+++ b/internal/gateway/chat_test.go
@@ -226,3 +226,26 @@
 		}
 	}
 }
+
+// TestReconnect ends the grace period of a planned stop in the middle of an
+// answer: the caller is told to go on elsewhere, and loses nothing.
+func TestReconnect(t *testing.T) {
+	const tokens = 60
+	y := newYard(t, 1, 0, 2, quickEngine)
+	resp := y.do("POST", y.urls[0]+chatPath, nil, chatBodyOf("stop", tokens, true))
+	var e events
+	e.read(resp.Body, 5)
+	close(y.gateways[0].stopping)
+	e.read(resp.Body, math.MaxInt)
+	if e.done || e.name != "reconnect" {
+		t.Fatalf("done %v, event %q; want reconnect", e.done, e.name)
+	}
+	again := y.do("POST", y.urls[1]+chatPath, map[string]string{headerLastEventID: e.lastID}, chatBodyOf("stop", tokens, true))
+	e.read(again.Body, math.MaxInt)
+	if got, want := e.text.String(), wantAnswer("stop", tokens); got != want || !e.done {
+		t.Errorf("answer = %q; want %q", got, want)
+	}
+	if counts := y.engines[0].Counts(); counts.TokensRecomputed+counts.PromptTokensRecomputed != 0 {
+		t.Errorf("tokens were recomputed: %+v", counts)
+	}
+}
