claim: claims queued behind a commit in doubt are refused after a second lost answer

Cause: while the key-value service drops every call, each try of a commit ends in doubt, and all claims queued behind it waited for their gateways' 3 s. Ruled out: refusing at the first lost answer, which a single loss would turn into refusals that the next read settles. Seen red: TestQueueDoesNotWaitOutAnOutage without the change.

--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -148,8 +148,12 @@
 	case r.Effect == Done:
 		s.verify = true
 	case r.Effect == Unknown:
+		again := s.commit.doubt
 		s.commit.doubt = true
 		s.retryAt = now.Add(s.limits.RetryDelay)
+		if again {
+			s.commitFailed(now)
+		}
 	default:
 		s.commitFailed(now)
 	}
@@ -157,7 +161,8 @@
 
 // commitFailed refuses the batch and the queue, unless an earlier try of the
 // same batch may still take effect: then only the queue is refused and the try
-// is repeated until it is decided.
+// is repeated until it is decided. One lost answer is no failure yet; a second
+// one in a row is, and keeps nobody waiting who has nothing at stake.
 func (s *Shard) commitFailed(now time.Time) {
 	s.failing = true
 	s.retryAt = now.Add(s.limits.RetryDelay)
@@ -181,7 +186,8 @@
 // Only this owner raises the segment's count of writes.
 func (s *Shard) doneVerify(now time.Time, r Result) {
 	if r.Effect != Done {
-		s.retryAt = now.Add(s.limits.RetryDelay)
+		s.commit.doubt = true
+		s.commitFailed(now)
 		return
 	}
 	s.verify = false
--- a/internal/claim/retention_test.go
+++ b/internal/claim/retention_test.go
@@ -146,3 +146,29 @@
 		t.Error("the key is not free after the claim that gave up")
 	}
 }
+
+// TestQueueDoesNotWaitOutAnOutage keeps one commit in doubt while nothing
+// answers: claims that came after it are refused as not run.
+func TestQueueDoesNotWaitOutAnOutage(t *testing.T) {
+	b := &bench{t: t, now: time.Unix(1_800_000_000, 0), kv: &kv{entries: map[string]Entry{}}}
+	s := owned(b, "a/1", testLimits)
+	s.Claim(b.now, 100, &pb.ClaimRequest{Key: Key("w", "first"), RunId: "1"})
+	fail := func() {
+		t.Helper()
+		if _, ok, _ := s.Next(b.now); !ok {
+			t.Fatal("the owner does not try again")
+		}
+		s.Done(b.now, Result{Effect: Unknown})
+	}
+	fail()
+	s.Claim(b.now, 101, &pb.ClaimRequest{Key: Key("w", "second"), RunId: "2"})
+	if replies := s.Replies(); len(replies) != 0 {
+		t.Fatalf("replies after one lost answer = %+v, want none yet", replies)
+	}
+	b.now = b.now.Add(time.Second)
+	fail()
+	replies := s.Replies()
+	if len(replies) != 1 || replies[0].Ticket != 101 || replies[0].Err == nil || replies[0].Err.Verdict != contract.NotRun {
+		t.Fatalf("replies after two lost answers = %+v, want the queued claim refused as not run", replies)
+	}
+}
