--- a/test/atmostonce/atmostonce_test.go
+++ b/test/atmostonce/atmostonce_test.go
@@ -1,3 +1,6 @@
+// Package atmostonce proves, with gateways and agents as processes, that a
+// request that must not repeat runs at most once and that every refusal's
+// verdict is true. It has only test files.
 package atmostonce
 
 import (
@@ -9,15 +12,21 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"kumquatyard/internal/standin"
+	"kumquatyard/test/processes"
 )
 
+func TestMain(m *testing.M) {
+	code := m.Run()
+	processes.Cleanup()
+	os.Exit(code)
+}
+
 const (
 	defaultDuration = 8 * time.Second
 	callerCount     = 64
@@ -60,7 +69,7 @@
 // caller makes bookings; each is called for again at other gateways, sometimes
 // at two at once, until one answers it.
 type caller struct {
-	c    *cluster
+	urls []string
 	rng  *rand.Rand
 	http *http.Client
 	made []*booking
@@ -83,7 +92,7 @@
 func (u *caller) attempt(b *booking) {
 	var group conc.WaitGroup
 	for range 1 + u.rng.IntN(2) {
-		gateway := u.rng.IntN(len(u.c.callers))
+		gateway := u.rng.IntN(len(u.urls))
 		group.Go(func() {
 			a := u.call(b.key, gateway)
 			b.mu.Lock()
@@ -96,8 +105,8 @@
 
 func (u *caller) call(key string, gateway int) answer {
 	out := answer{gateway: gateway}
-	req, _ := http.NewRequest(http.MethodPost, "http://"+u.c.callers[gateway]+"/bookings", strings.NewReader("book "+key))
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req, _ := http.NewRequest(http.MethodPost, u.urls[gateway]+"/bookings", strings.NewReader("book "+key))
+	req.Header.Set("Authorization", "Bearer "+processes.APIKey)
 	req.Header.Set("Idempotency-Key", key)
 	resp, err := u.http.Do(req)
 	if err != nil {
@@ -116,7 +125,7 @@
 
 // disturber injects one failure after another until the load ends.
 type disturber struct {
-	c   *cluster
+	f   *processes.Fleet
 	rng *rand.Rand
 	log []string
 }
@@ -131,21 +140,23 @@
 
 // processes kills, freezes and stops processes of group, the next one before the
 // last one's peers have all noticed.
-func (d *disturber) processes(group []*process, until time.Time) {
+func (d *disturber) processes(group []*processes.Process, until time.Time) {
 	for time.Now().Before(until) {
 		p := group[d.rng.IntN(len(group))]
 		switch d.rng.IntN(4) {
 		case 0:
-			d.note("kill %s", p.name)
-			d.c.restart(p, syscall.SIGKILL)
+			d.note("kill %s", p.Name)
+			p.Kill()
+			p.Start()
 		case 1:
-			d.note("stop %s", p.name)
-			d.c.restart(p, syscall.SIGTERM)
+			d.note("stop %s", p.Name)
+			p.Terminate()
+			p.Start()
 		default:
-			d.note("freeze %s", p.name)
-			p.signal(syscall.SIGSTOP)
+			d.note("freeze %s", p.Name)
+			p.Freeze()
 			d.pause(time.Second, 5*time.Second)
-			p.signal(syscall.SIGCONT)
+			p.Thaw()
 		}
 		d.pause(200*time.Millisecond, time.Second)
 	}
@@ -168,13 +179,32 @@
 	for time.Now().Before(until) {
 		fault := platformFaults[d.rng.IntN(len(platformFaults))]
 		d.note("kv %s", fault.name)
-		d.c.fault("kv", fault.faults)
+		d.setFaults(fault.faults)
 		d.pause(300*time.Millisecond, 1500*time.Millisecond)
-		d.c.fault("kv", standin.Faults{LatencyMS: 2})
+		d.setFaults(standin.Faults{LatencyMS: 2})
 		d.pause(200*time.Millisecond, 1500*time.Millisecond)
 	}
 }
 
+func (d *disturber) setFaults(faults standin.Faults) {
+	d.f.KV.ChangeFaults(func(f *standin.Faults) { *f = faults })
+}
+
+// runs adds up what the services counted: the ground truth.
+func runs(f *processes.Fleet) standin.Runs {
+	total := standin.Runs{ByRequest: map[string]int{}, ByKey: map[string]int{}}
+	for _, s := range f.Services {
+		one := s.Runs()
+		for id, n := range one.ByRequest {
+			total.ByRequest[id] += n
+		}
+		for key, n := range one.ByKey {
+			total.ByKey[key] += n
+		}
+	}
+	return total
+}
+
 func environment(t *testing.T) (seed uint64, duration time.Duration) {
 	seed, duration = 1, defaultDuration
 	if text := os.Getenv("SEED"); text != "" {
@@ -197,28 +227,36 @@
 func TestAtMostOnce(t *testing.T) {
 	seed, duration := environment(t)
 	t.Logf("seed %d, duration %v", seed, duration)
-	c := startCluster(t)
+	f := processes.Start(t, processes.Options{
+		Entries: 3, Services: 3, KV: standin.Options{Seed: seed, WritesPerSecond: 300, ReadsPerSecond: 2000},
+		Service: standin.ServiceOptions{Seed: seed, ServiceTime: 10 * time.Millisecond, FailAfterRun: 0.05, CloseBeforeRun: 0.05},
+	})
+	var urls []string
+	var agents, gateways []*processes.Process
+	for _, e := range f.Entries {
+		urls, agents, gateways = append(urls, e.URL), append(agents, e.Agent), append(gateways, e.Gateway)
+	}
 	until := time.Now().Add(duration)
 	callers := make([]*caller, callerCount)
 	var work conc.WaitGroup
 	for i := range callers {
-		u := &caller{c: c, rng: rand.New(rand.NewPCG(seed, uint64(i))), http: &http.Client{Timeout: callTimeout}}
+		u := &caller{urls: urls, rng: rand.New(rand.NewPCG(seed, uint64(i))), http: &http.Client{Timeout: callTimeout}}
 		callers[i] = u
 		work.Go(func() { u.work(i, until) })
 	}
 	disturbers := make([]*disturber, 3)
 	for i := range disturbers {
-		disturbers[i] = &disturber{c: c, rng: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
+		disturbers[i] = &disturber{f: f, rng: rand.New(rand.NewPCG(seed, uint64(1000+i)))}
 	}
-	work.Go(func() { disturbers[0].processes(c.agents, until) })
-	work.Go(func() { disturbers[1].processes(c.gateways, until) })
+	work.Go(func() { disturbers[0].processes(agents, until) })
+	work.Go(func() { disturbers[1].processes(gateways, until) })
 	work.Go(func() { disturbers[2].platform(until) })
 	work.Wait()
 	time.Sleep(settled)
 	for _, d := range disturbers {
 		t.Logf("failures: %s", strings.Join(d.log, ", "))
 	}
-	check(t, callers, c.runs())
+	check(t, callers, runs(f))
 }
 
 // check compares the answers with the services' own counts.
--- a/test/processes/process.go
+++ b/test/processes/process.go
@@ -39,7 +39,8 @@
 	p.t.Helper()
 	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		p.t.Fatal(err)
+		p.t.Error(err)
+		return
 	}
 	defer func() { _ = out.Close() }()
 	p.mu.Lock()
@@ -47,7 +48,8 @@
 	p.cmd = exec.Command(p.path, "-c", p.config)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
-		p.t.Fatal(err)
+		p.t.Error(err)
+		p.cmd = nil
 	}
 }
 
