--- a/cmd/kumquat-agent/main.go
+++ b/cmd/kumquat-agent/main.go
@@ -14,6 +14,7 @@
 	"kumquatyard/internal/claimshard"
 	"kumquatyard/internal/configstore"
 	"kumquatyard/internal/link"
+	"kumquatyard/internal/placementduty"
 	"kumquatyard/internal/platform"
 	"kumquatyard/internal/process"
 	"kumquatyard/internal/telemetry"
@@ -61,6 +62,12 @@
 	a.Add(claimshard.New(claimshard.Options{
 		Self: a.Self(), Settings: s.Claims, KV: kv, Caller: calls, Live: a.LiveAgents, Log: log,
 	}))
+	if s.Placement.Enabled {
+		a.Add(placementduty.New(placementduty.Options{
+			Zone: s.Zone, Holder: s.ID, Settings: s.Placement, Timing: placementduty.DefaultTiming,
+			KV: kv, Fleet: a, Sender: placementduty.NewHTTPSender(), Log: log,
+		}))
+	}
 	return serve(ctx, s, a, keeper, log)
 }
 
--- a/internal/agent/live.go
+++ b/internal/agent/live.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"kumquatyard/internal/machine"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
@@ -13,6 +14,18 @@
 	return peerToProto(a.table.Self())
 }
 
+// Servers returns the configured servers of the agent's zone that are not drained.
+func (a *Agent) Servers() []machine.Server {
+	var out []machine.Server
+	cfg := a.config.Config()
+	for id, s := range cfg.Servers {
+		if s.Zone == a.settings.Zone && !cfg.Drained[id] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // LiveAgents returns the live agents in scope, itself included unless it leaves.
 func (a *Agent) LiveAgents() []*pb.Peer {
 	now := time.Now()
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -9,6 +9,7 @@
 
 	"kumquatyard/internal/claimshard"
 	"kumquatyard/internal/link"
+	"kumquatyard/internal/placementduty"
 	"kumquatyard/internal/telemetry"
 )
 
@@ -29,6 +30,8 @@
 	Intervals Intervals          `yaml:"intervals"`
 	// Claims must be the same at all agents.
 	Claims claimshard.Settings `yaml:"claims"`
+	// Placement should be the same at all agents of a zone.
+	Placement placementduty.Settings `yaml:"placement"`
 }
 
 // Intervals are the mean times between the agent's periodic actions; each is
@@ -50,7 +53,7 @@
 
 // DefaultSettings returns the values of keys that a settings file leaves out.
 func DefaultSettings() Settings {
-	return Settings{Claims: claimshard.DefaultSettings(), Intervals: Intervals{
+	return Settings{Claims: claimshard.DefaultSettings(), Placement: placementduty.DefaultSettings(), Intervals: Intervals{
 		Heartbeat: time.Second,
 		Digest:    2500 * time.Millisecond,
 		Observe:   time.Second,
