--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -75,7 +75,10 @@
 func Plan(in Input) []Wish {
 	p := newPlanner(in)
 	if p.cover() {
-		for p.budget > 0 && p.followDemand() {
+		for range p.budget {
+			if !p.followDemand() {
+				break
+			}
 		}
 	}
 	return p.wishes()
--- a/internal/placementduty/placementduty_test.go
+++ b/internal/placementduty/placementduty_test.go
@@ -40,18 +40,19 @@
 			}
 			z.start(second)
 			z.awaitOrder(second)
-			newer := z.network.takenFrom("second")[0].Fence
-			before := len(z.network.find(func(s sent) bool { return s.holder == "first" }))
+			older, newer := z.network.takenFrom("first")[0].Fence, z.network.takenFrom("second")[0].Fence
+			underOldLease := func(s sent) bool { return s.holder == "first" && s.Fence == older }
+			before := len(z.network.find(underOldLease))
 			losses := first.losses()
 			first.thaw()
 			z.await("the first notices", func() bool { return first.losses() > losses })
-			late := z.network.find(func(s sent) bool { return s.holder == "first" && s.Fence < newer })
-			for i, s := range late {
-				if i >= before && s.status != test.status {
+			late := z.network.find(underOldLease)[before:]
+			for _, s := range late {
+				if s.status != test.status {
 					t.Errorf("order of fence %d after %d: status %d (%v), want %d", s.Fence, newer, s.status, s.err, test.status)
 				}
 			}
-			if sentLate := len(late) > before; sentLate != (test.status != 0) {
+			if sentLate := len(late) > 0; sentLate != (test.status != 0) {
 				t.Errorf("a late order was sent: %v", sentLate)
 			}
 			if got := z.engine.State(); got.Fence < newer {
