--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -23,10 +23,11 @@
 		},
 	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
-		some := rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID[string])
+		holds := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, len(names), rapid.ID[string]).Draw(t, "holds")
 		in.Engines = append(in.Engines, placement.Engine{
-			ID: machine.ID(fmt.Sprintf("e%d", i)), Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"),
-			Holds: some.Draw(t, "holds"), Loaded: some.Draw(t, "loaded"), Settled: true,
+			ID: machine.ID(fmt.Sprintf("e%d", i)), Pool: rapid.SampledFrom([]string{"p", "p", "p", "q"}).Draw(t, "pool"),
+			Holds: holds, Loaded: rapid.SliceOfDistinct(rapid.SampledFrom(append(holds, "f")), rapid.ID[string]).Draw(t, "loaded"),
+			Settled: true,
 		})
 	}
 	return in
