Streams lost by a gateway are logged; process tests run engines that hold their model

Cause: TestRollingRestart saw 140 and 161 prompt tokens recomputed since placement came: engines that report no model take every model, and the first order made them refuse work for the 2 s of a load. Ruled out: streams lost or moved (neither is in the gateways' logs). Change: the fleet's engines report the model that they hold.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -188,6 +189,7 @@
 		return
 	}
 	r.sending.mayHaveRun = true
+	r.g.log.WithError(err).WithFields(logrus.Fields{"request": r.req.id, "server": r.server.ID, "token": r.asm.Next()}).Info("engine stream lost")
 	r.g.journal.note(r.req.id, "lost %s at token %d: %v", r.server.ID, r.asm.Next(), err)
 	r.span.AddEvent("lost", trace.WithAttributes(attribute.String("server", string(r.server.ID))))
 	r.detach()
@@ -203,6 +205,7 @@
 			}
 			return nil
 		}
+		r.g.log.WithFields(logrus.Fields{"request": r.req.id, "server": r.server.ID}).Info("engine stream not picked up")
 	}
 	if r.server != nil {
 		r.g.tracker.failed(r.server.ID)
--- a/test/processes/fleet.go
+++ b/test/processes/fleet.go
@@ -161,6 +161,7 @@
 		fmt.Fprintf(inventory[zone], "  - {id: %s, address: %q, kind: %s, pool: %s, vendor: v, class: c, price_per_hour: 1, reclaimable: true%s}\n", id, address, kind, pool, extra)
 		f.instances.Add(standin.Instance{ID: id, Kind: kind, Address: address, Zone: zone}, "c", true, m)
 	}
+	o.Engine.Models = []string{Model}
 	for i := range o.Engines {
 		e := standin.NewEngine(o.Engine)
 		f.Engines = append(f.Engines, e)
--- a/test/rolling/rolling_test.go
+++ b/test/rolling/rolling_test.go
@@ -30,6 +30,11 @@
 		t.Errorf("%d tokens were recomputed although no engine was lost", n)
 	}
 	t.Logf("%d whole answers, %d connections broke", l.Answers(), l.Breaks())
+	if t.Failed() {
+		for _, e := range f.Entries {
+			t.Log(e.Gateway.Log())
+		}
+	}
 }
 
 func startFleet(t *testing.T) *processes.Fleet {
