--- a/internal/placementduty/placementduty.go
+++ b/internal/placementduty/placementduty.go
@@ -105,7 +105,7 @@
 
 // round plans anew and orders what differs.
 func (l *leader) round(ctx context.Context) error {
-	engines := servingEngines(l.Fleet.Servers(), l.Fleet.States())
+	engines := slices.DeleteFunc(servingEngines(l.Fleet.Servers(), l.Fleet.States()), l.servesAll)
 	l.plan(engines, time.Now())
 	orders := pool.New().WithErrors().WithFirstError().WithMaxGoroutines(maxOrders)
 	for _, e := range engines {
@@ -119,6 +119,14 @@
 	return orders.Wait()
 }
 
+// servesAll reports whether e loads models by itself: it reports none and was
+// not ordered to hold any. It takes every model, as routing assumes of it, and
+// an order would make it refuse those until they are loaded.
+func (l *leader) servesAll(e engine) bool {
+	w := l.wishes[e.server.ID]
+	return len(e.state.Load.Adapters) == 0 && (w == nil || w.incarnation != e.state.Incarnation)
+}
+
 // plan updates the wishes; those of engines that no longer serve are forgotten.
 func (l *leader) plan(engines []engine, now time.Time) {
 	l.demand.add(engines)
--- a/internal/placementduty/placementduty_test.go
+++ b/internal/placementduty/placementduty_test.go
@@ -105,3 +105,16 @@
 	fence := z.engine.State().Fence
 	z.await("the duty is taken again", func() bool { return z.engine.State().Fence > fence })
 }
+
+// An engine that reports no models takes every one; an order would make it
+// refuse work until it has loaded one.
+func TestEngineThatServesEveryModelIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	l := newLeader(Options{
+		Fleet: &fleet{server: newZone(t, false).server, round: &gate{}}, Settings: DefaultSettings(), Timing: testTiming,
+	}, nil)
+	l.Fleet.(*fleet).server.Models = []string{"m"}
+	if err := l.round(t.Context()); err != nil || len(l.wishes) != 0 {
+		t.Errorf("wishes %v, error %v", l.wishes, err)
+	}
+}
