route: price queued work at the speed of prefill

Change: queued tokens are priced like tokens to be computed again. Proof: TestChooseWaitsForACachedPrefix fails without the change (17 requests on the holder: chose another server, bounded_load) and passes with it.

--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -256,12 +256,12 @@
 	if c.home {
 		credit = max(credit, homeShare*float64(r.PromptTokens))
 	}
-	cost := m.wait() + m.prefill(r.PromptTokens-int(credit)) + m.delay.Seconds()
+	cost := m.wait() + m.prefill(float64(r.PromptTokens)-credit) + m.delay.Seconds()
 	if m.cold {
 		cost += coldSeconds
 	}
 	if m.server.Reclaimable {
-		atStake := m.prefill(r.PromptTokens)
+		atStake := m.prefill(float64(r.PromptTokens))
 		running := atStake + float64(r.MaxTokens)*m.load.slots/m.load.tokensPerSecond
 		cost += reclaimsPerSecond * running * (atStake + running/2)
 	}
--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -87,7 +87,8 @@
 func (m *member) utilization() float64 { return m.requests() / m.load.slots }
 
 // wait estimates the seconds that a new request is queued on the server, plus
-// the slowdown by the requests that it is batched with.
+// the slowdown by the requests that it is batched with. Queued tokens are priced
+// at the speed of prefill, since most of them are of prompts.
 func (m *member) wait() float64 {
 	n := m.requests()
 	over := n + 1 - m.load.slots
@@ -96,7 +97,7 @@
 		return slowdown
 	}
 	tokens := max(m.load.tokensPerRequest, minTokensPerRequest)
-	return slowdown + over*tokens/m.load.tokensPerSecond
+	return slowdown + m.prefill(over*tokens)
 }
 
 const (
@@ -107,6 +108,6 @@
 )
 
 // prefill estimates the seconds for processing prompt tokens.
-func (m *member) prefill(tokens int) float64 {
-	return float64(tokens) / (m.load.tokensPerSecond * prefillSpeedup)
+func (m *member) prefill(tokens float64) float64 {
+	return tokens / (m.load.tokensPerSecond * prefillSpeedup)
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -178,6 +178,38 @@
 	}
 }
 
+// A short queue of prompts is waited for at the server that has the prefix
+// cached; tokens are priced the same whether they are queued or computed again.
+func TestChooseWaitsForACachedPrefix(t *testing.T) {
+	prompt := chain(7, 128)
+	in := route.Input{Zone: "a", Zones: zones, Now: epoch}
+	for i := range 20 {
+		in.Servers = append(in.Servers, server(fmt.Sprint("s", i)))
+	}
+	var b route.CacheBuilder
+	b.Added(prompt...)
+	for i := range in.Servers {
+		in.Servers[i].State.Load.Running = 12
+	}
+	holder := &in.Servers[3]
+	holder.CachePrefixes = b.View()
+	r := &route.Request{Pool: "chat", Model: "m", Prefix: prompt, PromptTokens: 8192, MaxTokens: 100, Now: epoch}
+	for _, c := range []struct {
+		running int
+		want    bool
+	}{{0, true}, {17, true}, {23, false}} {
+		holder.State.Load.Running = min(c.running, 16)
+		holder.State.Load.Queued = c.running - holder.State.Load.Running
+		holder.State.Load.QueuedTokens = c.running * 2000
+		in.Index = route.NewIndex(10)
+		route.NewCacheBuilder(holder.ID, in.Index).Added(prompt...)
+		choice, _ := route.NewView(in).Choose(r)
+		if got := choice.Server.ID == holder.ID; got != c.want {
+			t.Errorf("%d requests on the holder: chose %s, %v", c.running, choice.Server.ID, choice.Reason)
+		}
+	}
+}
+
 func benchmarkView(policy string) (*route.View, *route.Request) {
 	in := route.Input{Zone: "a", Zones: zones, Now: epoch, Routing: config.Routing{Policy: policy}, Index: route.NewIndex(18)}
 	prompt := chain(3, 500)
