route: a server's speed is never taken below the target rate of full slots

Cause: TokensPerSecond is the rate of the moment. One request running alone, or a step that processes a prompt, reports a tenth of what the server can do; the speed of prefill and the queue's wait are derived from it, so idle holders looked slow and busy ones worse. Change: the rate is at least a request's rate at 44 ms between tokens times the slots. Proof: TestChooseIgnoresALowRateOfTheMoment fails without it for 1 and 50 tokens/s.

--- a/internal/route/load.go
+++ b/internal/route/load.go
@@ -6,6 +6,9 @@
 const (
 	defaultSlots           = 16
 	defaultTokensPerSecond = 400
+	// leastTokensPerSecond is a running request's rate of generation at the
+	// target of 44 ms between tokens.
+	leastTokensPerSecond = 1 / 0.044
 	// prefillSpeedup is the rate of prompt processing over the rate of generation.
 	prefillSpeedup = 10
 )
@@ -21,7 +24,8 @@
 	slots float64
 	// tokensPerRequest is the mean work of a request on the server.
 	tokensPerRequest float64
-	tokensPerSecond  float64
+	// tokensPerSecond is the rate of generation with full slots.
+	tokensPerSecond float64
 }
 
 func newLoadEstimate(s *Server, now time.Time) loadEstimate {
@@ -38,6 +42,9 @@
 	if e.tokensPerSecond <= 0 {
 		e.tokensPerSecond = defaultTokensPerSecond
 	}
+	// The report is of the rate now, which is low while few requests run or
+	// prompts are processed, and says nothing of the speed of the server.
+	e.tokensPerSecond = max(e.tokensPerSecond, e.slots*leastTokensPerSecond)
 	if e.reported > 0 {
 		e.tokensPerRequest = float64(l.QueuedTokens) / e.reported
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -210,6 +210,30 @@
 	}
 }
 
+// The rate of generation at the moment of a report, which is low while a server
+// is nearly idle or processes prompts, doesn't make its cached prefix look dear.
+func TestChooseIgnoresALowRateOfTheMoment(t *testing.T) {
+	prompt := chain(7, 128)
+	r := &route.Request{Pool: "chat", Model: "m", Prefix: prompt, PromptTokens: 8192, MaxTokens: 100, Now: epoch}
+	for _, rate := range []int{1, 50, 400} {
+		in := route.Input{Zone: "a", Zones: zones, Now: epoch, Index: route.NewIndex(10)}
+		for i := range 20 {
+			s := server(fmt.Sprint("s", i))
+			s.State.Load.Running = 16
+			in.Servers = append(in.Servers, s)
+		}
+		holder := &in.Servers[3]
+		b := route.NewCacheBuilder(holder.ID, in.Index)
+		b.Added(prompt...)
+		holder.CachePrefixes = b.View()
+		holder.State.Load.Queued, holder.State.Load.QueuedTokens = 2, 18*500
+		holder.State.Load.TokensPerSecond = rate
+		if choice, _ := route.NewView(in).Choose(r); choice.Server.ID != holder.ID {
+			t.Errorf("%d tokens/s: chose %s, %v", rate, choice.Server.ID, choice.Reason)
+		}
+	}
+}
+
 func benchmarkView(policy string) (*route.View, *route.Request) {
 	in := route.Input{Zone: "a", Zones: zones, Now: epoch, Routing: config.Routing{Policy: policy}, Index: route.NewIndex(18)}
 	prompt := chain(3, 500)
