--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	@bash scripts/down.sh
 
 # Measures the control plane and writes docs/slopes.txt, which docs/CAPACITY.md
-# quotes; about five minutes.
+# quotes; about ten minutes.
 .PHONY: slopes
 slopes:
 	go build -o $(BIN)/slopes ./test/slopes
