--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -168,6 +168,7 @@
 func (y *yard) start(i int) {
 	s := DefaultSettings()
 	s.ID, s.Zone = fmt.Sprintf("g%d", i), "a"
+	s.ReadTimeout = 2 * time.Second
 	g := New(s, link.Caller(y.agent), telemetry.NewLogger("test", s.ID, "error"))
 	g.log.Logger.SetLevel(logrus.ErrorLevel)
 	y.gateways = append(y.gateways, g)
--- a/internal/gateway/service_test.go
+++ b/internal/gateway/service_test.go
@@ -75,6 +75,13 @@
 	if resp := y.do("GET", y.urls[0]+"/lookups/1", nil, nil); resp.StatusCode != 200 {
 		t.Errorf("status = %d, want 200", resp.StatusCode)
 	}
+	if err := conn.SetReadDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(conn)
+	if err != nil || !bytes.Contains(answer, []byte("400 Bad Request")) || !bytes.Contains(answer, []byte("not_run")) {
+		t.Errorf("the slow client got %q, %v; want a refusal with status 400 and the end of the connection", answer, err)
+	}
 }
 
 func TestBookingRepeats(t *testing.T) {
