--- a/internal/gateway/picture.go
+++ b/internal/gateway/picture.go
@@ -13,6 +13,7 @@
 	"kumquatyard/internal/configstore"
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/observe"
 	"kumquatyard/internal/outlier"
 	"kumquatyard/internal/route"
 	pb "kumquatyard/proto/kumquat/v1"
@@ -139,7 +140,7 @@
 func (k *keeper) takeStates(next *picture, v *pb.View, now time.Time) {
 	for _, s := range v.GetServers() {
 		id := machine.ID(s.GetId())
-		state := stateFromProto(s, now)
+		state := observe.DecodeView(s, now)
 		if old := next.states[id]; old.Incarnation != 0 && old.Incarnation < state.Incarnation && k.caches[id] != nil {
 			k.caches[id].Reset()
 		}
--- a/test/atmostonce/atmostonce_test.go
+++ b/test/atmostonce/atmostonce_test.go
@@ -21,11 +21,7 @@
 	"kumquatyard/test/processes"
 )
 
-func TestMain(m *testing.M) {
-	code := m.Run()
-	processes.Cleanup()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(processes.Run(m)) }
 
 const (
 	defaultDuration = 8 * time.Second
--- a/test/configuration/configuration_test.go
+++ b/test/configuration/configuration_test.go
@@ -25,11 +25,7 @@
 	document   = "rules/probe"
 )
 
-func TestMain(m *testing.M) {
-	code := m.Run()
-	processes.Cleanup()
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(processes.Run(m)) }
 
 // probe asks one gateway which version of the probe workspace is in force.
 // Each version has an API key of its own and no other.
--- a/test/processes/fleet.go
+++ b/test/processes/fleet.go
@@ -94,8 +94,12 @@
 	return buildDir, buildErr
 }
 
-// Cleanup removes the binaries; call it at the end of TestMain.
-func Cleanup() { _ = os.RemoveAll(buildDir) }
+// Run runs the tests of a package that uses Fleets, removes the binaries and
+// returns the exit code for TestMain.
+func Run(m *testing.M) int {
+	defer func() { _ = os.RemoveAll(buildDir) }()
+	return m.Run()
+}
 
 // Start runs a Fleet until the end of the test.
 func Start(t testing.TB, o Options) *Fleet {
