--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -50,8 +50,7 @@
 	h := g.hedger(req.who.contract.Pool)
 	delay, ok := h.delay()
 	if !ok {
-		out := g.timedSend(ctx, req, first, s.attempts, h)
-		return out
+		return g.timedSend(ctx, req, first, s.attempts, h)
 	}
 	results := make(chan sent, 2)
 	launch := func(server *route.Server) {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -71,7 +71,7 @@
 	if errors.As(err, &fe) {
 		return &contract.Error{Kind: kindOfStatus(fe.Code), Verdict: contract.NotRun, Message: fe.Message}
 	}
-	return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "internal error", Err: err}
+	return lost("internal error", err)
 }
 
 func kindOfStatus(status int) contract.ErrorKind {
@@ -87,6 +87,11 @@
 	}
 }
 
+// lost is a failure after which the request may have run.
+func lost(message string, err error) *contract.Error {
+	return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: message, Err: err}
+}
+
 func notRun(kind contract.ErrorKind, retryAfter time.Duration, message string) *contract.Error {
 	return &contract.Error{Kind: kind, Verdict: contract.NotRun, Message: message, RetryAfter: retryAfter}
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -18,9 +18,9 @@
 // with Last-Event-ID does not.
 func (g *Gateway) serveResume(c fiber.Ctx) error {
 	p := g.keeper.load()
-	pos, next, err := p.signer.Verify(c.Get(headerLastEventID), time.Now())
+	pos, next, err := p.position(c.Get(headerLastEventID))
 	if err != nil {
-		return notRun(contract.KindInvalid, 0, "Last-Event-ID is not an event id of this service, or too old")
+		return err
 	}
 	who, err := g.identifyResume(c, p, pos)
 	if err != nil {
@@ -30,6 +30,15 @@
 	return g.answerChat(c, who, req, g.beginHeld(req, pos, next, false))
 }
 
+// position returns the stream that an event id is of, and the token after it.
+func (p *picture) position(eventID string) (answer.Position, uint32, error) {
+	pos, next, err := p.signer.Verify(eventID, time.Now())
+	if err != nil {
+		return pos, 0, notRun(contract.KindInvalid, 0, "Last-Event-ID is not an event id of this service, or too old")
+	}
+	return pos, next, nil
+}
+
 func (g *Gateway) identifyResume(c fiber.Ctx, p *picture, pos answer.Position) (caller, error) {
 	ws, ok := authenticated(c, p)
 	if !ok || ws.Name != pos.Workspace {
@@ -46,9 +55,9 @@
 
 // resume goes on with an answer for a caller that repeated its request.
 func (g *Gateway) resume(c fiber.Ctx, who caller, req *chatRequest, eventID string) error {
-	pos, next, err := who.picture.signer.Verify(eventID, time.Now())
+	pos, next, err := who.picture.position(eventID)
 	if err != nil {
-		return notRun(contract.KindInvalid, 0, "Last-Event-ID is not an event id of this service, or too old")
+		return err
 	}
 	if pos.Workspace != who.workspace.Name {
 		return notRun(contract.KindUnauthorized, 0, "the API key does not belong to the stream's workspace")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,7 +54,6 @@
 	started   time.Time
 	heartbeat time.Duration
 	moves     chan move
-	cached    int
 	firstByte time.Duration
 	out       []answer.Chunk
 	// from is the first token that the source was asked for, and flowing when
@@ -172,18 +171,18 @@
 func (r *run) take(e sourceEvent) ([]answer.Chunk, error) {
 	switch {
 	case e.err != nil:
-		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the engine's stream broke", Err: e.err}
+		return nil, lost("the engine's stream broke", e.err)
 	case e.end:
 		if r.asm.Done() {
 			return nil, nil
 		}
-		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: errStreamEnded.Error(), Err: errStreamEnded}
+		return nil, lost(errStreamEnded.Error(), errStreamEnded)
 	}
 	first := r.asm.Next() == 0
 	var ok bool
 	r.out, ok = r.asm.Add(r.out[:0], e.chunk)
 	if !ok {
-		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "too many chunks out of order"}
+		return nil, lost("too many chunks out of order", nil)
 	}
 	if len(r.out) > 0 {
 		r.held = 0
@@ -192,14 +191,13 @@
 		}
 		r.position.Load().generated.Store(r.asm.Next())
 		if first {
-			r.firstToken(e.cached)
+			r.firstToken()
 		}
 	}
 	return r.out, nil
 }
 
-func (r *run) firstToken(cached int) {
-	r.cached = cached
+func (r *run) firstToken() {
 	r.firstByte = time.Since(r.started)
 	r.g.tracker.server(r.server.ID).computed(r.req.prefix)
 	firstTokenSeconds.Update(since(r.started))
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -200,7 +200,7 @@
 	}
 	body, err := resp.BodyUncompressed()
 	if err != nil {
-		return plainAnswer{}, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's answer broke off", Err: err}
+		return plainAnswer{}, lost("the server's answer broke off", err)
 	}
 	return plainAnswer{
 		status:      resp.StatusCode(),
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -31,10 +31,8 @@
 
 // engineChunk is an OpenAI chunk with the members that engines add to it.
 type engineChunk struct {
-	Offset       uint32 `json:"offset"`
-	CachedTokens int    `json:"cached_tokens"`
-	PromptTokens int    `json:"prompt_tokens"`
-	Choices      []struct {
+	Offset  uint32 `json:"offset"`
+	Choices []struct {
 		Delta struct {
 			Content string `json:"content"`
 		} `json:"delta"`
@@ -44,10 +42,9 @@
 
 // sourceEvent is one chunk, the end of the stream, or its failure.
 type sourceEvent struct {
-	chunk  answer.Chunk
-	cached int
-	end    bool
-	err    error
+	chunk answer.Chunk
+	end   bool
+	err   error
 }
 
 // source is one engine's event stream on a connection of its own, so that
@@ -108,7 +105,7 @@
 	case status >= 400 && status < 500:
 		return notRun(contract.KindInvalid, 0, fmt.Sprintf("the engine rejected the request with status %d", status))
 	default:
-		return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: fmt.Sprintf("the engine failed with status %d", status)}
+		return lost(fmt.Sprintf("the engine failed with status %d", status), nil)
 	}
 }
 
@@ -149,7 +146,7 @@
 	if reason := c.Choices[0].FinishReason; reason != nil {
 		chunk.Finish = *reason
 	}
-	return sourceEvent{chunk: chunk, cached: c.CachedTokens}
+	return sourceEvent{chunk: chunk}
 }
 
 func (s *source) send(e sourceEvent) bool {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -86,7 +86,7 @@
 	if err == nil {
 		return nil
 	}
-	e := &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server did not answer", Err: err}
+	e := lost("the server did not answer", err)
 	var dial *dialError
 	if errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		e.Verdict = contract.NotRun
--- a/test/slopes/events.go
+++ b/test/slopes/events.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -20,24 +21,37 @@
 	reclaimedShare = 0.53
 )
 
-// events measures a zone of the letter's size while something happens to it.
-func events(out io.Writer) error {
+// startLetterZone returns a settled zone of the letter's size, and its end.
+func startLetterZone() (*fleet.Fleet, func(), error) {
 	dir, err := os.MkdirTemp("", "slopes")
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	defer os.RemoveAll(dir)
 	o := options(1, 1, letterNodes, letterServers)
 	o.KeyDir = dir
 	f, err := fleet.Start(o)
 	if err != nil {
-		return err
+		return nil, nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	stop := func() {
+		f.Stop()
+		_ = os.RemoveAll(dir)
 	}
-	defer f.Stop()
 	if !f.Await(startLimit, func(n *fleet.Node) bool { return len(n.Agent.States()) >= letterServers }) {
-		return fmt.Errorf("fleet did not get ready")
+		stop()
+		return nil, nil, errors.New("fleet did not get ready")
 	}
 	time.Sleep(settle)
+	return f, stop, nil
+}
+
+// events measures a zone of the letter's size while something happens to it.
+func events(out io.Writer) error {
+	f, stop, err := startLetterZone()
+	if err != nil {
+		return err
+	}
+	defer stop()
 	t := newTable(out, "event", "sent B/s", "busiest", "received B/s", "calls/s", "KV reads/s", "KV writes/s", "core %")
 	row := func(name string, r rates) {
 		t.AppendRow(table.Row{
@@ -90,22 +104,11 @@
 // gateways, which the rotating reads bound.
 func listNews(out io.Writer) error {
 	var times []time.Duration
-	dir, err := os.MkdirTemp("", "slopes")
+	f, stop, err := startLetterZone()
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	o := options(1, 1, letterNodes, letterServers)
-	o.KeyDir = dir
-	f, err := fleet.Start(o)
-	if err != nil {
-		return err
-	}
-	defer f.Stop()
-	if !f.Await(startLimit, func(n *fleet.Node) bool { return len(n.Agent.States()) >= letterServers }) {
-		return fmt.Errorf("fleet did not get ready")
-	}
-	time.Sleep(settle)
+	defer stop()
 	for j := range 8 {
 		id, begin := fleet.ServerName(0, j), time.Now()
 		f.List.Put(platform.Instance{ID: id, Kind: "engine", Zone: fleet.ZoneName(0), State: "leaving"})
