--- a/internal/platform/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -1,4 +1,6 @@
-package platform
+// Package httpcall sends single HTTP calls to the platform's services: each at most
+// once, with an error that says whether it may have taken effect.
+package httpcall
 
 import (
 	"context"
@@ -20,20 +22,22 @@
 	idleConnLimit = 10 * time.Second
 )
 
-// call is one HTTP request to a platform service.
-type call struct {
-	method string
-	path   string
-	body   []byte
-	// wait is how long the service may hold the answer back, 0 when it may not.
-	wait time.Duration
+// Call is one HTTP request to a platform service.
+type Call struct {
+	Method string
+	Path   string
+	// Header holds the headers that the call adds.
+	Header map[string]string
+	Body   []byte
+	// Wait is how long the service may hold the answer back, 0 when it may not.
+	Wait time.Duration
 }
 
-// reply is a complete HTTP answer.
-type reply struct {
-	status int
-	body   []byte
-	index  string
+// Reply is a complete HTTP answer.
+type Reply struct {
+	Status int
+	Body   []byte
+	Index  string
 }
 
 // dialError marks an error that happened before a connection existed.
@@ -42,15 +46,17 @@
 func (e *dialError) Error() string { return e.err.Error() }
 func (e *dialError) Unwrap() error { return e.err }
 
-// httpClient sends each call at most once; the library's own retries are off.
-type httpClient struct {
+// Client sends each call at most once; the library's own retries are off.
+type Client struct {
 	host    *fasthttp.HostClient
 	address string
 	timeout time.Duration
 }
 
-func newHTTPClient(address string, timeout time.Duration) *httpClient {
-	return &httpClient{
+// New returns a client of the service at address, host:port by IP number.
+// timeout bounds a call, beside the time that the service may hold it.
+func New(address string, timeout time.Duration) *Client {
+	return &Client{
 		address: address,
 		timeout: timeout,
 		host: &fasthttp.HostClient{
@@ -76,22 +82,22 @@
 	return conn, nil
 }
 
-// do sends c and waits for the answer until ctx is done or c's time is over.
+// Do sends c and waits for the answer until ctx is done or c's time is over.
 // The error is a *contract.Error.
-func (h *httpClient) do(ctx context.Context, c call) (reply, error) {
+func (h *Client) Do(ctx context.Context, c Call) (Reply, error) {
 	limit := h.timeout
-	if c.wait > 0 {
+	if c.Wait > 0 {
 		// The service adds up to a sixteenth to spread its answers.
-		limit += c.wait + c.wait/16
+		limit += c.Wait + c.Wait/16
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(deadline))
 	}
 	if err := ctx.Err(); err != nil || limit <= 0 {
-		return reply{}, unsent(c, context.Cause(ctx))
+		return Reply{}, unsent(c, context.Cause(ctx))
 	}
 	type outcome struct {
-		reply reply
+		reply Reply
 		err   error
 	}
 	// The exchange outlives this function when ctx is cancelled; limit bounds it.
@@ -105,48 +111,51 @@
 		return o.reply, o.err
 	case <-ctx.Done():
 		h.suspectIdle(context.Cause(ctx))
-		return reply{}, lost(c, context.Cause(ctx))
+		return Reply{}, lost(c, context.Cause(ctx))
 	}
 }
 
 // suspectIdle closes the idle connections after a timeout: whatever made one
 // connection silent is likely to have silenced them all, and each would cost
 // its next user a timeout.
-func (h *httpClient) suspectIdle(cause error) {
+func (h *Client) suspectIdle(cause error) {
 	if errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, fasthttp.ErrTimeout) {
 		h.host.CloseIdleConnections()
 	}
 }
 
-func (h *httpClient) exchange(c call, limit time.Duration) (reply, error) {
+func (h *Client) exchange(c Call, limit time.Duration) (Reply, error) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.URI().DisablePathNormalizing = true
-	req.SetRequestURI("http://" + h.address + c.path)
-	req.Header.SetMethod(c.method)
-	if c.body != nil {
+	req.SetRequestURI("http://" + h.address + c.Path)
+	req.Header.SetMethod(c.Method)
+	for name, value := range c.Header {
+		req.Header.Set(name, value)
+	}
+	if c.Body != nil {
 		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(c.body)
+		req.SetBodyRaw(c.Body)
 	}
 	req.SetTimeout(limit)
 	if err := h.host.Do(req, resp); err != nil {
 		h.suspectIdle(err)
-		return reply{}, classify(c, err)
+		return Reply{}, classify(c, err)
 	}
-	r := reply{
-		status: resp.StatusCode(),
-		body:   append([]byte(nil), resp.Body()...),
-		index:  string(resp.Header.Peek("X-Consul-Index")),
+	r := Reply{
+		Status: resp.StatusCode(),
+		Body:   append([]byte(nil), resp.Body()...),
+		Index:  string(resp.Header.Peek("X-Consul-Index")),
 	}
-	if r.status == fasthttp.StatusTooManyRequests {
+	if r.Status == fasthttp.StatusTooManyRequests {
 		return r, refused(c, r)
 	}
 	return r, nil
 }
 
-func classify(c call, err error) error {
+func classify(c Call, err error) error {
 	var d *dialError
 	if errors.As(err, &d) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return unsent(c, err)
@@ -155,40 +164,40 @@
 }
 
 // unsent is the failure of a call of which no byte was sent.
-func unsent(c call, err error) error {
+func unsent(c Call, err error) error {
 	return &contract.Error{
 		Kind:    contract.KindUnavailable,
 		Verdict: contract.NotRun,
-		Message: fmt.Sprintf("%s %s was not sent", c.method, c.path),
+		Message: fmt.Sprintf("%s %s was not sent", c.Method, c.Path),
 		Err:     err,
 	}
 }
 
 // lost is the failure of a call that may have taken effect.
-func lost(c call, err error) error {
+func lost(c Call, err error) error {
 	return &contract.Error{
 		Kind:    contract.KindUnavailable,
 		Verdict: contract.MayHaveRun,
-		Message: fmt.Sprintf("%s %s got no answer", c.method, c.path),
+		Message: fmt.Sprintf("%s %s got no answer", c.Method, c.Path),
 		Err:     err,
 	}
 }
 
 // refused is a call that the service turned away for its rate.
-func refused(c call, r reply) error {
+func refused(c Call, r Reply) error {
 	return &contract.Error{
 		Kind:    contract.KindOverloaded,
 		Verdict: contract.NotRun,
-		Message: fmt.Sprintf("%s %s: %s", c.method, c.path, r.body),
+		Message: fmt.Sprintf("%s %s: %s", c.Method, c.Path, r.Body),
 	}
 }
 
-// unexpected is an answer with a status that the protocol does not foresee.
+// Unexpected is an answer with a status that the protocol does not foresee.
 // The call may have taken effect before the service failed.
-func unexpected(c call, r reply) error {
+func Unexpected(c Call, r Reply) error {
 	return &contract.Error{
 		Kind:    contract.KindUnavailable,
 		Verdict: contract.MayHaveRun,
-		Message: fmt.Sprintf("%s %s: status %d: %.200s", c.method, c.path, r.status, r.body),
+		Message: fmt.Sprintf("%s %s: status %d: %.200s", c.Method, c.Path, r.Status, r.Body),
 	}
 }
--- a/internal/platform/cloud.go
+++ b/internal/platform/cloud.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"kumquatyard/internal/httpcall"
 	"net/http"
 	"net/url"
 	"time"
@@ -25,18 +26,18 @@
 
 // InstanceList is a client of the lagging list of instances.
 type InstanceList struct {
-	http *httpClient
+	http *httpcall.Client
 }
 
 // NewInstanceList returns a client of the list at address.
 func NewInstanceList(address string, timeout time.Duration) *InstanceList {
-	return &InstanceList{http: newHTTPClient(address, timeout)}
+	return &InstanceList{http: httpcall.New(address, timeout)}
 }
 
 // List returns the instances as the list knows them.
 func (l *InstanceList) List(ctx context.Context) ([]Instance, error) {
 	var list []Instance
-	err := l.http.getJSON(ctx, "/v1/instances", &list)
+	err := getJSON(ctx, l.http, "/v1/instances", &list)
 	return list, err
 }
 
@@ -77,12 +78,12 @@
 
 // Cloud is a client of the cloud API.
 type Cloud struct {
-	http *httpClient
+	http *httpcall.Client
 }
 
 // NewCloud returns a client of the cloud API at address.
 func NewCloud(address string, timeout time.Duration) *Cloud {
-	return &Cloud{http: newHTTPClient(address, timeout)}
+	return &Cloud{http: httpcall.New(address, timeout)}
 }
 
 // Start asks for an instance. It returns ErrNoRoom when the cloud refuses.
@@ -91,30 +92,30 @@
 	if err != nil {
 		return Started{}, err
 	}
-	req := call{method: http.MethodPost, path: "/v1/instances", body: body}
-	answer, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodPost, Path: "/v1/instances", Body: body}
+	answer, err := c.http.Do(ctx, req)
 	if err != nil {
 		return Started{}, err
 	}
-	if answer.status == http.StatusServiceUnavailable {
+	if answer.Status == http.StatusServiceUnavailable {
 		return Started{}, ErrNoRoom
 	}
 	var started Started
-	if answer.status != http.StatusCreated || json.Unmarshal(answer.body, &started) != nil {
-		return Started{}, unexpected(req, answer)
+	if answer.Status != http.StatusCreated || json.Unmarshal(answer.Body, &started) != nil {
+		return Started{}, httpcall.Unexpected(req, answer)
 	}
 	return started, nil
 }
 
 // Stop gives an instance back; one that is gone already counts as given back.
 func (c *Cloud) Stop(ctx context.Context, id string) error {
-	req := call{method: http.MethodDelete, path: "/v1/instances/" + url.PathEscape(id)}
-	r, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodDelete, Path: "/v1/instances/" + url.PathEscape(id)}
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return err
 	}
-	if r.status != http.StatusOK && r.status != http.StatusNotFound {
-		return unexpected(req, r)
+	if r.Status != http.StatusOK && r.Status != http.StatusNotFound {
+		return httpcall.Unexpected(req, r)
 	}
 	return nil
 }
@@ -122,42 +123,42 @@
 // Notices returns the reclaim notices given so far.
 func (c *Cloud) Notices(ctx context.Context) ([]Notice, error) {
 	var notices []Notice
-	err := c.http.getJSON(ctx, "/v1/notices", &notices)
+	err := getJSON(ctx, c.http, "/v1/notices", &notices)
 	return notices, err
 }
 
 // WeightStore is a client of the store of model weights.
 type WeightStore struct {
-	http *httpClient
+	http *httpcall.Client
 }
 
 // NewWeightStore returns a client of the store at address. The store is
 // rate-limited, so timeout bounds a whole download.
 func NewWeightStore(address string, timeout time.Duration) *WeightStore {
-	return &WeightStore{http: newHTTPClient(address, timeout)}
+	return &WeightStore{http: httpcall.New(address, timeout)}
 }
 
 // Fetch returns the weights of a model.
 func (w *WeightStore) Fetch(ctx context.Context, name string) ([]byte, error) {
-	req := call{method: http.MethodGet, path: "/v1/weights/" + url.PathEscape(name)}
-	r, err := w.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodGet, Path: "/v1/weights/" + url.PathEscape(name)}
+	r, err := w.http.Do(ctx, req)
 	if err != nil {
 		return nil, err
 	}
-	if r.status != http.StatusOK {
-		return nil, unexpected(req, r)
+	if r.Status != http.StatusOK {
+		return nil, httpcall.Unexpected(req, r)
 	}
-	return r.body, nil
+	return r.Body, nil
 }
 
-func (h *httpClient) getJSON(ctx context.Context, path string, out any) error {
-	req := call{method: http.MethodGet, path: path}
-	r, err := h.do(ctx, req)
+func getJSON(ctx context.Context, client *httpcall.Client, path string, out any) error {
+	req := httpcall.Call{Method: http.MethodGet, Path: path}
+	r, err := client.Do(ctx, req)
 	if err != nil {
 		return err
 	}
-	if r.status != http.StatusOK || json.Unmarshal(r.body, out) != nil {
-		return unexpected(req, r)
+	if r.Status != http.StatusOK || json.Unmarshal(r.Body, out) != nil {
+		return httpcall.Unexpected(req, r)
 	}
 	return nil
 }
--- a/internal/platform/kv.go
+++ b/internal/platform/kv.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"kumquatyard/internal/httpcall"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,13 +33,13 @@
 // *contract.Error unless said otherwise: NotRun when nothing was sent or the
 // service refused, MayHaveRun when the answer was lost. It never repeats a call.
 type KVClient struct {
-	http *httpClient
+	http *httpcall.Client
 }
 
 // NewKVClient returns a client of the service at address, host:port by IP
 // number. A call fails after timeout, a waiting call timeout after its wait.
 func NewKVClient(address string, timeout time.Duration) *KVClient {
-	return &KVClient{http: newHTTPClient(address, timeout)}
+	return &KVClient{http: httpcall.New(address, timeout)}
 }
 
 type txnOp struct {
@@ -62,18 +63,18 @@
 
 // Get returns the entry of key, with ModifyIndex 0 when it is absent.
 func (c *KVClient) Get(ctx context.Context, key string) (Entry, error) {
-	entry, _, err := c.get(ctx, call{method: http.MethodGet, path: keyPath(key)}, key)
+	entry, _, err := c.get(ctx, httpcall.Call{Method: http.MethodGet, Path: keyPath(key)}, key)
 	return entry, err
 }
 
 // get also returns the index to wait on for a change of key.
-func (c *KVClient) get(ctx context.Context, req call, key string) (Entry, uint64, error) {
-	r, err := c.http.do(ctx, req)
+func (c *KVClient) get(ctx context.Context, req httpcall.Call, key string) (Entry, uint64, error) {
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return Entry{}, 0, err
 	}
-	index, _ := strconv.ParseUint(r.index, 10, 64)
-	if r.status == http.StatusNotFound {
+	index, _ := strconv.ParseUint(r.Index, 10, 64)
+	if r.Status == http.StatusNotFound {
 		return Entry{Key: key}, index, nil
 	}
 	entries, err := decodeEntries(req, r)
@@ -81,31 +82,31 @@
 		return Entry{}, 0, err
 	}
 	if len(entries) != 1 {
-		return Entry{}, 0, unexpected(req, r)
+		return Entry{}, 0, httpcall.Unexpected(req, r)
 	}
 	return entries[0], index, nil
 }
 
 // List returns the entries whose keys start with prefix, ordered by key.
 func (c *KVClient) List(ctx context.Context, prefix string) ([]Entry, error) {
-	req := call{method: http.MethodGet, path: keyPath(prefix) + "?recurse"}
-	r, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodGet, Path: keyPath(prefix) + "?recurse"}
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return nil, err
 	}
-	if r.status == http.StatusNotFound {
+	if r.Status == http.StatusNotFound {
 		return nil, nil
 	}
 	return decodeEntries(req, r)
 }
 
-func decodeEntries(req call, r reply) ([]Entry, error) {
-	if r.status != http.StatusOK {
-		return nil, unexpected(req, r)
+func decodeEntries(req httpcall.Call, r httpcall.Reply) ([]Entry, error) {
+	if r.Status != http.StatusOK {
+		return nil, httpcall.Unexpected(req, r)
 	}
 	var entries []Entry
-	if err := json.Unmarshal(r.body, &entries); err != nil {
-		return nil, unexpected(req, r)
+	if err := json.Unmarshal(r.Body, &entries); err != nil {
+		return nil, httpcall.Unexpected(req, r)
 	}
 	return entries, nil
 }
@@ -117,20 +118,20 @@
 	if err != nil {
 		return 0, false, err
 	}
-	req := call{method: http.MethodPut, path: "/v1/txn", body: body}
-	r, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodPut, Path: "/v1/txn", Body: body}
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return 0, false, err
 	}
-	if r.status == http.StatusConflict {
+	if r.Status == http.StatusConflict {
 		return 0, false, nil
 	}
 	var result txnReply
-	if r.status != http.StatusOK {
-		return 0, false, unexpected(req, r)
+	if r.Status != http.StatusOK {
+		return 0, false, httpcall.Unexpected(req, r)
 	}
-	if err := json.Unmarshal(r.body, &result); err != nil || len(result.Results) != 1 {
-		return 0, false, unexpected(req, r)
+	if err := json.Unmarshal(r.Body, &result); err != nil || len(result.Results) != 1 {
+		return 0, false, httpcall.Unexpected(req, r)
 	}
 	return result.Results[0].KV.ModifyIndex, true, nil
 }
@@ -139,7 +140,7 @@
 // key is gone. An absent key counts as removed.
 func (c *KVClient) Delete(ctx context.Context, key string, index uint64) (bool, error) {
 	path := fmt.Sprintf("%s?cas=%d", keyPath(key), index)
-	return c.boolean(ctx, call{method: http.MethodDelete, path: path})
+	return c.boolean(ctx, httpcall.Call{Method: http.MethodDelete, Path: path})
 }
 
 // Watch waits until key's ModifyIndex differs from after, or for wait, and
@@ -149,7 +150,7 @@
 	index := after
 	if after == 0 {
 		// An absent key has no index of its own to wait on.
-		entry, current, err := c.get(ctx, call{method: http.MethodGet, path: keyPath(key)}, key)
+		entry, current, err := c.get(ctx, httpcall.Call{Method: http.MethodGet, Path: keyPath(key)}, key)
 		if err != nil || entry.ModifyIndex != 0 {
 			return entry, err
 		}
@@ -158,7 +159,7 @@
 	for {
 		left := max(time.Until(end), time.Millisecond)
 		path := fmt.Sprintf("%s?index=%d&wait=%dms", keyPath(key), index, left.Milliseconds())
-		entry, current, err := c.get(ctx, call{method: http.MethodGet, path: path, wait: left}, key)
+		entry, current, err := c.get(ctx, httpcall.Call{Method: http.MethodGet, Path: path, Wait: left}, key)
 		if err != nil || entry.ModifyIndex != after || !time.Now().Before(end) {
 			return entry, err
 		}
@@ -182,17 +183,17 @@
 	if err != nil {
 		return "", err
 	}
-	req := call{method: http.MethodPut, path: "/v1/session/create", body: body}
-	r, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodPut, Path: "/v1/session/create", Body: body}
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return "", err
 	}
-	if r.status != http.StatusOK {
-		return "", unexpected(req, r)
+	if r.Status != http.StatusOK {
+		return "", httpcall.Unexpected(req, r)
 	}
 	var created struct{ ID string }
-	if err := json.Unmarshal(r.body, &created); err != nil || created.ID == "" {
-		return "", unexpected(req, r)
+	if err := json.Unmarshal(r.Body, &created); err != nil || created.ID == "" {
+		return "", httpcall.Unexpected(req, r)
 	}
 	return created.ID, nil
 }
@@ -200,24 +201,24 @@
 // RenewSession restarts the session's time to live. It returns ErrSessionGone
 // when the service no longer knows the session.
 func (c *KVClient) RenewSession(ctx context.Context, id string) error {
-	req := call{method: http.MethodPut, path: "/v1/session/renew/" + url.PathEscape(id)}
-	r, err := c.http.do(ctx, req)
+	req := httpcall.Call{Method: http.MethodPut, Path: "/v1/session/renew/" + url.PathEscape(id)}
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return err
 	}
-	switch r.status {
+	switch r.Status {
 	case http.StatusOK:
 		return nil
 	case http.StatusNotFound:
 		return ErrSessionGone
 	default:
-		return unexpected(req, r)
+		return httpcall.Unexpected(req, r)
 	}
 }
 
 // DestroySession ends a session; ending one that is gone succeeds.
 func (c *KVClient) DestroySession(ctx context.Context, id string) error {
-	_, err := c.boolean(ctx, call{method: http.MethodPut, path: "/v1/session/destroy/" + url.PathEscape(id)})
+	_, err := c.boolean(ctx, httpcall.Call{Method: http.MethodPut, Path: "/v1/session/destroy/" + url.PathEscape(id)})
 	return err
 }
 
@@ -228,26 +229,26 @@
 		value = []byte{}
 	}
 	path := keyPath(key) + "?acquire=" + url.QueryEscape(session)
-	return c.boolean(ctx, call{method: http.MethodPut, path: path, body: value})
+	return c.boolean(ctx, httpcall.Call{Method: http.MethodPut, Path: path, Body: value})
 }
 
 // Release gives key up when session holds it. The value is kept.
 func (c *KVClient) Release(ctx context.Context, key, session string) (bool, error) {
 	path := keyPath(key) + "?release=" + url.QueryEscape(session)
-	return c.boolean(ctx, call{method: http.MethodPut, path: path})
+	return c.boolean(ctx, httpcall.Call{Method: http.MethodPut, Path: path})
 }
 
 // boolean sends a call that is answered by true or false.
-func (c *KVClient) boolean(ctx context.Context, req call) (bool, error) {
-	r, err := c.http.do(ctx, req)
+func (c *KVClient) boolean(ctx context.Context, req httpcall.Call) (bool, error) {
+	r, err := c.http.Do(ctx, req)
 	if err != nil {
 		return false, err
 	}
-	if r.status == http.StatusInternalServerError && bytes.Contains(r.body, []byte("invalid session")) {
+	if r.Status == http.StatusInternalServerError && bytes.Contains(r.Body, []byte("invalid session")) {
 		return false, ErrSessionGone
 	}
-	if r.status != http.StatusOK {
-		return false, unexpected(req, r)
+	if r.Status != http.StatusOK {
+		return false, httpcall.Unexpected(req, r)
 	}
-	return strconv.ParseBool(string(bytes.TrimSpace(r.body)))
+	return strconv.ParseBool(string(bytes.TrimSpace(r.Body)))
 }
