--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 .PHONY: generate
 generate:
 	go build -modfile=tools/go.mod -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=paths=source_relative proto/kumquat/v1/link.proto
+	protoc --plugin=$(BIN)/protoc-gen-go --go_out=. --go_opt=paths=source_relative proto/kumquat/v1/link.proto proto/kumquat/v1/instance.proto
 
 .PHONY: fmt
 fmt:
--- /dev/null
+++ b/cmd/kumquat-entry/main.go
@@ -0,0 +1,107 @@
+// Command kumquat-entry is one entry instance on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/duty"
+	"kumquatyard/internal/entry"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/process"
+	"kumquatyard/internal/serve"
+	"kumquatyard/internal/telemetry"
+	"kumquatyard/internal/upstream"
+	"kumquatyard/internal/usage"
+	"kumquatyard/platform"
+)
+
+const (
+	name         = "kumquat-entry"
+	storeTimeout = time.Second
+	dutyTimeout  = 2 * time.Second
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	defer out.Flush()
+	settings, err := platform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return process.ExitFailure
+	}
+	log := telemetry.NewLoggerTo(out, name, settings.Name, "info")
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go logReloads(log)
+	if err := newInstance(settings, log).Run(ctx); err != nil {
+		log.WithError(err).WithField("event", "failed").Error("stopped with an error")
+		return process.ExitFailure
+	}
+	return process.ExitOK
+}
+
+// logReloads notes the signal that the settings file has changed; an instance
+// takes new settings at its next start.
+func logReloads(log *logrus.Entry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		if _, err := platform.LoadSettings(); err != nil {
+			log.WithError(err).WithField("event", "reload").Error("changed settings are not valid")
+			continue
+		}
+		log.WithField("event", "reload").Info("settings read again; addresses and bounds apply from the next start")
+	}
+}
+
+func newInstance(s platform.Settings, log *logrus.Entry) *entry.Instance {
+	connections := upstream.NewPool(upstream.DefaultSettings)
+	client := platform.NewStore(s.StoreAddress, storeTimeout)
+	return entry.New(entry.Options{
+		Settings: entry.Settings{
+			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
+			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, GracePeriod: s.GracePeriod,
+			RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, QuotaSlack: s.QuotaSlack, UsageWindow: s.UsageWindow,
+		},
+		Store:   client,
+		Backend: platform.NewBackend(connections),
+		Front: func(core *serve.Server, picture func() *fleet.Picture) entry.Front {
+			return platform.NewIngress(core, picture)
+		},
+		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
+		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer, ServerID: platform.ServerID,
+		Duty:  func(ctx context.Context, d entry.DutyContext) { runDuties(ctx, s, client, d, log) },
+		Sweep: connections.Sweep,
+		Log:   log,
+	})
+}
+
+// runDuties competes for the duties and does them while they are held.
+func runDuties(ctx context.Context, s platform.Settings, client *platform.Store, d entry.DutyContext, log *logrus.Entry) {
+	if s.DutiesAddress == "" {
+		return
+	}
+	calls := platform.NewDuties(s.DutiesAddress, s.Name, dutyTimeout)
+	job := &duty.Duty{
+		Name: "duties", Holder: s.Name, KV: platform.DutyStore{Store: client}, Log: log,
+		Settings: duty.Settings{TTL: s.LeaseTTL, Retry: s.LeaseTTL / 4},
+		Lead: func(ctx context.Context, lease *duty.Lease) error {
+			reporter := &usage.Reporter{
+				Counter: d.Usage, Store: client, Destination: calls, Due: s.UsageDue, Now: d.Now, Log: log,
+			}
+			return reporter.Run(ctx, lease.Fence(), lease.Check)
+		},
+	}
+	if err := job.Run(ctx); err != nil {
+		log.WithError(err).WithField("event", "duty_failed").Error("duties ended")
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,263 @@
+// Package entry runs one entry instance in one process: it follows the store,
+// serves callers, exchanges state with the other instances, competes for the
+// duties and stops gracefully.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"kumquatyard/internal/clock"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/follow"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/peers"
+	"kumquatyard/internal/quota"
+	"kumquatyard/internal/retry"
+	"kumquatyard/internal/serve"
+	"kumquatyard/internal/store"
+	"kumquatyard/internal/telemetry"
+	"kumquatyard/internal/usage"
+)
+
+// Settings are an instance's own.
+type Settings struct {
+	Name             string
+	Zone             string
+	CallersAddress   string
+	ReadinessAddress string
+	PeersAddress     string
+	MetricsAddress   string
+	// GracePeriod is the time from the stop signal until the process is killed.
+	GracePeriod time.Duration
+	RetryRatio  float64
+	RetrySlack  float64
+	QuotaSlack  float64
+	UsageWindow time.Duration
+}
+
+// Front answers callers.
+type Front interface {
+	Serve(l net.Listener) error
+	// CloseConnections ends each connection after its next answer.
+	CloseConnections()
+	// RefuseWork answers new requests as not run.
+	RefuseWork()
+	// Shutdown closes idle connections and waits for those in use.
+	Shutdown(ctx context.Context) error
+}
+
+// Options are what an Instance is built from.
+type Options struct {
+	Settings Settings
+	Store    store.Store
+	Backend  serve.Backend
+	// Front makes the front end on the core.
+	Front func(core *serve.Server, picture func() *fleet.Picture) Front
+
+	ConfigKey     string
+	ServersPrefix string
+	DecodeConfig  func([]byte) (*fleet.Config, error)
+	DecodeServer  func(store.Item, time.Time) (fleet.Server, error)
+	ServerID      func(key string) machine.ID
+
+	// Duty competes for and does the duties until ctx is done; nil has none.
+	Duty func(ctx context.Context, d DutyContext)
+	// Sweep is called about once a second to drop idle connections; may be nil.
+	Sweep func(now time.Time)
+	Log   *logrus.Entry
+}
+
+// DutyContext is what the duties are done with.
+type DutyContext struct {
+	Usage   *usage.Counter
+	Board   *forecast.Board
+	Picture func() *fleet.Picture
+	Now     func() time.Time
+	Demand  *serve.Demand
+}
+
+// Instance is one entry instance.
+type Instance struct {
+	Options
+	keeper   *pictureKeeper
+	board    *forecast.Board
+	ledger   *quota.Ledger
+	counter  *usage.Counter
+	clock    *clock.Clock
+	budget   *retry.PoolBudget
+	core     *serve.Server
+	front    Front
+	exchange *peers.Exchange
+
+	incarnation uint64
+	sequence    atomic.Uint64
+	stopping    atomic.Bool
+	instances   int
+}
+
+const (
+	// quotaTolerance and budgetShare are the parts of the fleet's slack that are
+	// used; the rest covers what instances learn late of each other.
+	quotaTolerance = 0.3
+	budgetShare    = 0.6
+	// maintainInterval is the time between looks at servers and instances.
+	maintainInterval = 500 * time.Millisecond
+)
+
+// New returns an Instance.
+func New(o Options) *Instance {
+	now := time.Now()
+	i := &Instance{
+		Options: o, keeper: newPictureKeeper(o.Log), board: forecast.NewBoard(),
+		ledger:  quota.New(quotaTolerance * o.Settings.QuotaSlack),
+		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
+		budget:      retry.NewPoolBudget(0, 0),
+		incarnation: uint64(now.UnixMilli()),
+	}
+	i.core = serve.New(serve.Options{
+		Zone: o.Settings.Zone, Picture: i.keeper.Load, Backend: o.Backend, Quotas: i.ledger, Usage: usageByClock{i},
+		Board: i.board, Budget: i.budget, Log: o.Log,
+	})
+	i.front = o.Front(i.core, i.keeper.Load)
+	i.exchange = peers.New(peers.Options{
+		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Collect: i.state, Apply: i.apply, Log: o.Log,
+	})
+	i.setInstances(1)
+	return i
+}
+
+// usageByClock counts requests by the corrected time of day.
+type usageByClock struct{ i *Instance }
+
+// Began implements serve.Usage.
+func (u usageByClock) Began(workspace string, now time.Time) {
+	u.i.counter.Began(workspace, u.i.clock.Now(now))
+}
+
+// now is the corrected time of day.
+func (i *Instance) now() time.Time { return i.clock.Now(time.Now()) }
+
+// Run serves until ctx is done, then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", i.Settings.CallersAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	readiness, err := net.Listen("tcp", i.Settings.ReadinessAddress)
+	if err != nil {
+		return fmt.Errorf("listen for readiness checks: %w", err)
+	}
+	i.Log.WithFields(logrus.Fields{"event": "started", "zone": i.Settings.Zone, "incarnation": i.incarnation}).Info("instance started")
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg conc.WaitGroup
+	failures := make(chan error, 4)
+	start := func(f func(context.Context) error) {
+		wg.Go(func() {
+			if err := f(background); err != nil && background.Err() == nil {
+				failures <- err
+			}
+		})
+	}
+	start(func(context.Context) error { return i.front.Serve(callers) })
+	start(func(context.Context) error { return i.serveReadiness(background, readiness) })
+	start(func(ctx context.Context) error {
+		return telemetry.Serve(ctx, i.Settings.MetricsAddress, nil, nil)
+	})
+	start(i.exchange.Run)
+	for _, f := range i.followers() {
+		start(func(ctx context.Context) error { f.Run(ctx); return nil })
+	}
+	start(func(context.Context) error { i.register(ctx, background); return nil })
+	start(func(ctx context.Context) error { i.maintain(ctx); return nil })
+	if i.Duty != nil {
+		start(func(context.Context) error { i.Duty(ctx, i.dutyContext()); return nil })
+	}
+	select {
+	case err = <-failures:
+	case <-ctx.Done():
+		i.stop()
+	}
+	cancel()
+	_ = readiness.Close()
+	_ = callers.Close()
+	wg.Wait()
+	i.Log.WithFields(logrus.Fields{"event": "stopped"}).Info("instance stopped")
+	return err
+}
+
+func (i *Instance) dutyContext() DutyContext {
+	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.core.Demand()}
+}
+
+func (i *Instance) followers() []*follow.Follower {
+	s, log := i.Store, i.Log
+	return []*follow.Follower{
+		{Store: s, Prefix: i.ConfigKey, Log: log, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: log}},
+		{Store: s, Prefix: i.ServersPrefix, Log: log, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: log}},
+		{Store: s, Prefix: membersPrefix, Log: log, Handler: &memberHandler{prefix: membersPrefix, changed: i.exchange.SetMembers, log: log}},
+	}
+}
+
+// Ready reports whether the instance takes new connections.
+func (i *Instance) Ready() bool {
+	p := i.keeper.Load()
+	return p != nil && !i.stopping.Load()
+}
+
+func (i *Instance) serveReadiness(ctx context.Context, l net.Listener) error {
+	server := &http.Server{
+		ReadHeaderTimeout: readinessTimeout,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if !i.Ready() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			w.WriteHeader(http.StatusOK)
+		}),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	return server.Serve(l)
+}
+
+const readinessTimeout = 5 * time.Second
+
+// maintain refreshes what depends on time alone.
+func (i *Instance) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			i.keeper.expire(now)
+			i.core.Maintain(now)
+			i.setInstances(i.exchange.Count(now))
+			if i.Sweep != nil {
+				i.Sweep(now)
+			}
+		}
+	}
+}
+
+// setInstances shares quotas and the retry budget among n instances.
+func (i *Instance) setInstances(n int) {
+	if n == i.instances {
+		return
+	}
+	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": i.instances, "now": n}).Info("number of instances changed")
+	i.instances = n
+	i.ledger.SetInstances(n)
+	i.budget.Set(budgetShare*i.Settings.RetryRatio, budgetShare*i.Settings.RetrySlack/float64(n))
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/usage"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	membersPrefix = "kumquat/instances/"
+	// memberTTL is the lease of an instance's entry, renewed renewInterval.
+	memberTTL     = 6 * time.Second
+	renewInterval = 2 * time.Second
+	storeTimeout  = 1500 * time.Millisecond
+)
+
+func (i *Instance) self() *pb.Instance {
+	return &pb.Instance{Name: i.Settings.Name, Incarnation: i.incarnation, Zone: i.Settings.Zone, Address: i.Settings.PeersAddress}
+}
+
+// state is the message to the other instances.
+func (i *Instance) state() *pb.InstanceState {
+	m := &pb.InstanceState{
+		From: i.self(), Sequence: i.sequence.Add(1), UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
+	}
+	if p := i.keeper.Load(); p != nil {
+		m.ConfigVersion = p.Config.Version
+	}
+	for id, w := range i.board.Own() {
+		m.Work = append(m.Work, &pb.ServerWork{
+			Server: string(id), Active: uint32(w.Active), Waiting: uint32(w.Waiting), WaitingTokens: uint32(w.WaitingTokens),
+		})
+	}
+	for name, total := range i.ledger.Used() {
+		m.Used = append(m.Used, &pb.WorkspaceTokens{Workspace: name, Total: total})
+	}
+	for w, counts := range i.counter.Own() {
+		m.Windows = append(m.Windows, &pb.UsageWindow{Window: int64(w), Counts: counts})
+	}
+	return m
+}
+
+// apply takes another instance's message.
+func (i *Instance) apply(m *pb.InstanceState, now time.Time) {
+	name := m.GetFrom().GetName()
+	incarnation := name + "/" + time.UnixMilli(int64(m.GetFrom().GetIncarnation())).UTC().Format(time.RFC3339Nano)
+	work := make(map[machine.ID]forecast.Work, len(m.GetWork()))
+	for _, w := range m.GetWork() {
+		work[machine.ID(w.GetServer())] = forecast.Work{
+			Active: int(w.GetActive()), Waiting: int(w.GetWaiting()), WaitingTokens: int(w.GetWaitingTokens()),
+		}
+	}
+	i.board.SetOthers(name, work, now)
+	used := make(map[string]float64, len(m.GetUsed()))
+	for _, u := range m.GetUsed() {
+		used[u.GetWorkspace()] = u.GetTotal()
+	}
+	i.ledger.Heard(incarnation, used, now)
+	windows := make(map[usage.Window]usage.Counts, len(m.GetWindows()))
+	for _, w := range m.GetWindows() {
+		windows[usage.Window(w.GetWindow())] = w.GetCounts()
+	}
+	i.counter.Heard(incarnation, windows)
+	i.clock.Heard(name, time.UnixMilli(m.GetUnixMs()), now)
+}
+
+// register keeps this instance's entry in the store until the stop begins.
+func (i *Instance) register(ctx, background context.Context) {
+	var lease uint64
+	for ctx.Err() == nil {
+		lease = i.keepEntry(ctx, lease)
+		select {
+		case <-ctx.Done():
+		case <-time.After(renewInterval):
+		}
+	}
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(background, storeTimeout)
+	defer cancel()
+	if err := i.Store.EndLease(ctx, lease); err != nil {
+		i.Log.WithError(err).Debug("entry not removed; it lapses by itself")
+	}
+}
+
+// keepEntry renews the lease, or creates it and writes the entry anew. It
+// returns the lease, 0 when there is none.
+func (i *Instance) keepEntry(ctx context.Context, lease uint64) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if lease != 0 {
+		err := i.Store.Renew(ctx, lease)
+		if err == nil {
+			return lease
+		}
+		i.Log.WithError(err).WithField("event", "member_lease").Debug("lease not renewed")
+	}
+	value, err := proto.Marshal(i.self())
+	if err != nil {
+		i.Log.WithError(err).Error("entry of this instance cannot be encoded")
+		return 0
+	}
+	lease, err = i.Store.Lease(ctx, memberTTL)
+	if err == nil {
+		err = i.Store.Set(ctx, membersPrefix+i.Settings.Name, value, lease)
+	}
+	if err != nil {
+		i.Log.WithError(err).WithField("event", "member_entry").Debug("entry not written")
+		return 0
+	}
+	return lease
+}
--- /dev/null
+++ b/internal/forecast/forecast.go
@@ -0,0 +1,251 @@
+// Package forecast predicts when an engine would send the first token of one
+// more request. It counts the work that this instance sent, adds what other
+// instances report of theirs, and learns the engines' speed from the answers.
+package forecast
+
+import (
+	"sync"
+	"time"
+
+	"kumquatyard/internal/machine"
+)
+
+// Prompt is what routing knows of a request to a model engine.
+type Prompt struct {
+	Model string
+	// Parts are the parts of the prompt in order. Requests share leading parts.
+	Parts []Part
+	// Tokens is the length of the prompt and MaxOutput bounds the output.
+	Tokens    int
+	MaxOutput int
+	// OutputHint is the caller's estimate of the output, 0 without one.
+	OutputHint int
+}
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Output is the expected number of output tokens.
+func (p *Prompt) Output() int {
+	if p.OutputHint > 0 {
+		return min(p.OutputHint, p.MaxOutput)
+	}
+	return p.MaxOutput
+}
+
+// Work is what an instance has running at one server.
+type Work struct {
+	// Active counts all unfinished requests.
+	Active int
+	// Waiting counts those without a first token, and WaitingTokens their prompt
+	// tokens that have to be read.
+	Waiting       int
+	WaitingTokens int
+}
+
+func (w *Work) add(o Work) {
+	w.Active += o.Active
+	w.Waiting += o.Waiting
+	w.WaitingTokens += o.WaitingTokens
+}
+
+const (
+	// staleWork is the age after which another instance's report is forgotten.
+	staleWork = 2 * time.Second
+	// initialRate is the rate of prompt processing assumed at first, in tokens a second.
+	initialRate = 80_000
+	// firstTokenBase is the least time to a first token.
+	firstTokenBase = 50 * time.Millisecond
+)
+
+// Board holds the work at the engines. It is safe for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	engines map[machine.ID]*engine
+	rates   map[string]*rate
+}
+
+// engine is what is known of one server.
+type engine struct {
+	own    Work
+	others map[string]otherWork
+	cache  partCache
+}
+
+type otherWork struct {
+	Work
+	at time.Time
+}
+
+// NewBoard returns an empty Board.
+func NewBoard() *Board {
+	return &Board{engines: make(map[machine.ID]*engine), rates: make(map[string]*rate)}
+}
+
+func (b *Board) engine(id machine.ID) *engine {
+	e := b.engines[id]
+	if e == nil {
+		e = &engine{others: make(map[string]otherWork), cache: newPartCache()}
+		b.engines[id] = e
+	}
+	return e
+}
+
+// Estimate is a prediction for one request at one server.
+type Estimate struct {
+	// FirstToken is the time to the first token.
+	FirstToken time.Duration
+	// Cached are the prompt tokens believed to be kept there.
+	Cached int
+	// Work is what the server is believed to be working on.
+	Work Work
+}
+
+// Predict estimates one more request at a server of a pool. confident is the
+// part of the prompt that is assumed to be cached by its home.
+func (b *Board) Predict(pool string, id machine.ID, p *Prompt, now time.Time) Estimate {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engine(id)
+	work := e.work(now)
+	cached := 0
+	if p != nil {
+		cached = e.cache.reusable(p)
+	}
+	est := Estimate{Cached: cached, Work: work, FirstToken: firstTokenBase}
+	if p != nil {
+		tokens := float64(work.WaitingTokens + max(p.Tokens-cached, 0))
+		est.FirstToken += time.Duration(tokens / b.rate(pool).perSecond * float64(time.Second))
+	}
+	return est
+}
+
+func (e *engine) work(now time.Time) Work {
+	w := e.own
+	for from, o := range e.others {
+		if now.Sub(o.at) > staleWork {
+			delete(e.others, from)
+			continue
+		}
+		w.add(o.Work)
+	}
+	return w
+}
+
+// Job is a request at a server.
+type Job struct {
+	board    *Board
+	id       machine.ID
+	pool     string
+	prompt   *Prompt
+	begun    time.Time
+	toRead   int
+	ahead    int
+	started  bool
+	finished bool
+}
+
+// Begin counts a request that is being sent.
+func (b *Board) Begin(pool string, id machine.ID, p *Prompt, now time.Time) *Job {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engine(id)
+	j := &Job{board: b, id: id, pool: pool, prompt: p, begun: now}
+	j.ahead = e.work(now).WaitingTokens
+	if p != nil {
+		j.toRead = max(p.Tokens-e.cache.reusable(p), 0)
+		e.cache.add(p)
+	}
+	e.own.add(Work{Active: 1, Waiting: 1, WaitingTokens: j.toRead})
+	return j
+}
+
+// FirstToken records that the answer began.
+func (j *Job) FirstToken(now time.Time) {
+	b := j.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if j.started || j.finished {
+		return
+	}
+	j.started = true
+	b.engine(j.id).own.add(Work{Waiting: -1, WaitingTokens: -j.toRead})
+	if j.prompt != nil {
+		b.rate(j.pool).observe(j.ahead+j.toRead, now.Sub(j.begun)-firstTokenBase)
+	}
+}
+
+// Done records the end of the request, with or without an answer.
+func (j *Job) Done() {
+	b := j.board
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if j.finished {
+		return
+	}
+	j.finished = true
+	w := Work{Active: -1}
+	if !j.started {
+		w.Waiting, w.WaitingTokens = -1, -j.toRead
+	}
+	b.engine(j.id).own.add(w)
+}
+
+// Own returns this instance's work by server, for the other instances.
+func (b *Board) Own() map[machine.ID]Work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[machine.ID]Work)
+	for id, e := range b.engines {
+		if e.own.Active > 0 {
+			out[id] = e.own
+		}
+	}
+	return out
+}
+
+// SetOthers records what another instance has running. Servers that it does
+// not name have none of its work.
+func (b *Board) SetOthers(from string, work map[machine.ID]Work, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, e := range b.engines {
+		if _, ok := work[id]; !ok {
+			delete(e.others, from)
+		}
+	}
+	for id, w := range work {
+		b.engine(id).others[from] = otherWork{Work: w, at: now}
+	}
+}
+
+// Forget drops a server that is gone.
+func (b *Board) Forget(keep func(machine.ID) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, e := range b.engines {
+		if e.own.Active == 0 && !keep(id) {
+			delete(b.engines, id)
+		}
+	}
+}
+
+func (b *Board) rate(pool string) *rate {
+	r := b.rates[pool]
+	if r == nil {
+		r = &rate{perSecond: initialRate}
+		b.rates[pool] = r
+	}
+	return r
+}
+
+// Rate returns the learned rate of prompt processing of one server of a pool,
+// in tokens a second.
+func (b *Board) Rate(pool string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rate(pool).perSecond
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,225 @@
+// Package peers sends an instance's state to all other instances in datagrams,
+// several times a second, and hands on what it hears.
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
+
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	// minInterval is the time between messages to the same instance while there
+	// are few; it grows with their number, so that an instance's traffic is bounded.
+	minInterval     = 150 * time.Millisecond
+	intervalPerPeer = 8 * time.Millisecond
+	// aliveFor is the silence after which an instance counts as unheard.
+	aliveFor = 2 * time.Second
+	// rememberFor is how long an instance that is in no list of members is sent to.
+	rememberFor      = 10 * time.Second
+	maxDatagramBytes = 60 << 10
+)
+
+var (
+	sentTotal     = metrics.NewCounter("kumquat_peer_messages_sent_total")
+	receivedTotal = metrics.NewCounter("kumquat_peer_messages_received_total")
+	invalidTotal  = metrics.NewCounter("kumquat_peer_messages_invalid_total")
+)
+
+// Options are what an Exchange is built from.
+type Options struct {
+	// Listen is the address of the datagrams.
+	Listen string
+	Name   string
+	// Collect returns the message to send.
+	Collect func() *pb.InstanceState
+	// Apply takes a message of another instance.
+	Apply func(state *pb.InstanceState, now time.Time)
+	Log   *logrus.Entry
+}
+
+// Exchange sends and receives states. It is safe for concurrent use.
+type Exchange struct {
+	options Options
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	address  *net.UDPAddr
+	member   bool
+	heard    time.Time
+	sequence uint64
+	// incarnation is the start of the process that was heard last.
+	incarnation uint64
+	silent      bool
+}
+
+// New returns an Exchange.
+func New(o Options) *Exchange { return &Exchange{options: o, peers: make(map[string]*peer)} }
+
+// SetMembers replaces the instances listed in the store.
+func (e *Exchange) SetMembers(members []*pb.Instance) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.peers {
+		p.member = false
+	}
+	for _, m := range members {
+		if m.GetName() == e.options.Name {
+			continue
+		}
+		if p := e.learn(m); p != nil {
+			p.member = true
+		}
+	}
+}
+
+// learn returns the record of an instance with its present address.
+func (e *Exchange) learn(m *pb.Instance) *peer {
+	address, err := net.ResolveUDPAddr("udp4", m.GetAddress())
+	if err != nil {
+		invalidTotal.Inc()
+		return nil
+	}
+	p := e.peers[m.GetName()]
+	if p == nil {
+		p = &peer{heard: time.Now()}
+		e.peers[m.GetName()] = p
+	}
+	p.address = address
+	return p
+}
+
+// Count returns the number of instances, this one included: those in the
+// store's list and those heard lately.
+func (e *Exchange) Count(now time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 1
+	for _, p := range e.peers {
+		if p.member || now.Sub(p.heard) < aliveFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Run sends and receives until ctx is done.
+func (e *Exchange) Run(ctx context.Context) error {
+	address, err := net.ResolveUDPAddr("udp4", e.options.Listen)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { e.send(ctx, conn) })
+	e.receive(ctx, conn)
+	wg.Wait()
+	return nil
+}
+
+func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) {
+	for {
+		targets := e.targets(time.Now())
+		interval := max(minInterval, time.Duration(len(targets))*intervalPerPeer)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		data, err := proto.Marshal(e.options.Collect())
+		if err != nil {
+			e.options.Log.WithError(err).Error("state of this instance cannot be encoded")
+			continue
+		}
+		for _, address := range targets {
+			// A datagram that cannot be sent is like one that is lost.
+			if _, err := conn.WriteToUDP(data, address); err == nil {
+				sentTotal.Inc()
+			}
+		}
+	}
+}
+
+// targets returns the addresses to send to, and notes instances that fell silent.
+func (e *Exchange) targets(now time.Time) []*net.UDPAddr {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]*net.UDPAddr, 0, len(e.peers))
+	for name, p := range e.peers {
+		if !p.member && now.Sub(p.heard) > rememberFor {
+			delete(e.peers, name)
+			continue
+		}
+		if !p.silent && now.Sub(p.heard) > aliveFor {
+			p.silent = true
+			e.options.Log.WithFields(logrus.Fields{"event": "peer_lost", "peer": name, "member": p.member}).Info("instance is not heard")
+		}
+		list = append(list, p.address)
+	}
+	return list
+}
+
+func (e *Exchange) receive(ctx context.Context, conn *net.UDPConn) {
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, err := conn.Read(buffer)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			e.options.Log.WithError(err).Warn("datagram could not be read")
+			time.Sleep(minInterval)
+			continue
+		}
+		var state pb.InstanceState
+		if err := proto.Unmarshal(buffer[:n], &state); err != nil || state.GetFrom().GetName() == "" {
+			invalidTotal.Inc()
+			continue
+		}
+		receivedTotal.Inc()
+		e.take(&state, time.Now())
+	}
+}
+
+// take hands a message on unless a later one was seen.
+func (e *Exchange) take(state *pb.InstanceState, now time.Time) {
+	if state.GetFrom().GetName() == e.options.Name || !e.isNews(state, now) {
+		return
+	}
+	e.options.Apply(state, now)
+}
+
+func (e *Exchange) isNews(state *pb.InstanceState, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	from := state.GetFrom()
+	p := e.learn(from)
+	if p == nil || from.GetIncarnation() < p.incarnation {
+		return false
+	}
+	if from.GetIncarnation() == p.incarnation && state.GetSequence() <= p.sequence {
+		return false
+	}
+	if p.silent || p.incarnation != from.GetIncarnation() {
+		e.options.Log.WithFields(logrus.Fields{"event": "peer_heard", "peer": from.GetName(), "incarnation": from.GetIncarnation()}).Info("instance is heard")
+	}
+	p.incarnation, p.sequence, p.heard, p.silent = from.GetIncarnation(), state.GetSequence(), now, false
+	return true
+}
--- a/internal/platform/cloud.go
+++ b/internal/platform/cloud.go
@@ -4,10 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"kumquatyard/internal/httpcall"
 	"net/http"
 	"net/url"
 	"time"
+
+	"kumquatyard/internal/httpcall"
 )
 
 // ErrNoRoom means that the cloud refused to start an instance.
--- a/internal/platform/kv.go
+++ b/internal/platform/kv.go
@@ -9,11 +9,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"kumquatyard/internal/httpcall"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"kumquatyard/internal/httpcall"
 )
 
 // ErrSessionGone means that a session expired or was destroyed.
--- /dev/null
+++ b/internal/quota/quota.go
@@ -0,0 +1,158 @@
+// Package quota keeps the workspaces' quotas over all instances without asking
+// anyone on a request's path. Each instance charges a token bucket for its own
+// requests at once and for those of the others when it hears of them; for
+// an instance that it does not hear it sets a fair share aside. Instances that
+// cannot hear each other therefore stay within the quota together.
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"kumquatyard/internal/fleet"
+)
+
+// SilentAfter is the time without a report after which an instance's fair
+// share is set aside.
+const SilentAfter = time.Second
+
+// Ledger holds the buckets of all workspaces. It is safe for concurrent use.
+type Ledger struct {
+	mu sync.Mutex
+	// tolerance is how far a bucket may be overdrawn.
+	tolerance float64
+	instances int
+	buckets   map[string]*bucket
+	own       map[string]float64
+	others    map[string]*other
+}
+
+// bucket is a workspace's quota as this instance sees it.
+type bucket struct {
+	level     float64
+	refilled  time.Time
+	perSecond float64
+	burst     float64
+}
+
+// other is what another instance reported, cumulative since its start.
+type other struct {
+	heard time.Time
+	used  map[string]float64
+}
+
+// New returns a Ledger whose buckets may be overdrawn by tolerance.
+func New(tolerance float64) *Ledger {
+	return &Ledger{
+		tolerance: tolerance, instances: 1,
+		buckets: make(map[string]*bucket), own: make(map[string]float64), others: make(map[string]*other),
+	}
+}
+
+// SetInstances sets the number of instances that share the quotas.
+func (l *Ledger) SetInstances(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.instances = max(n, 1)
+}
+
+// share is the part of a quota that this instance may hand out: all of it but
+// the fair shares of the instances that it does not hear.
+func (l *Ledger) share(now time.Time) float64 {
+	heard := 1
+	for _, o := range l.others {
+		if now.Sub(o.heard) < SilentAfter {
+			heard++
+		}
+	}
+	return min(float64(heard)/float64(l.instances), 1)
+}
+
+// Take charges amount to a workspace, or returns when there is room for it. A
+// workspace without a limit is always allowed.
+func (l *Ledger) Take(w *fleet.Workspace, amount float64, now time.Time) (wait time.Duration, ok bool) {
+	if w == nil || w.Quota.PerSecond <= 0 {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	share := l.share(now)
+	b := l.bucket(w, share, now)
+	if b.level < amount-l.tolerance*share && b.level < b.burst*share {
+		missing := amount - b.level
+		return time.Duration(missing / (w.Quota.PerSecond * share) * float64(time.Second)), false
+	}
+	b.level -= amount
+	l.own[w.Name] += amount
+	return 0, true
+}
+
+// Refund returns what a request was charged that did not run.
+func (l *Ledger) Refund(w *fleet.Workspace, amount float64, now time.Time) {
+	if w == nil || w.Quota.PerSecond <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bucket(w, l.share(now), now).level += amount
+	l.own[w.Name] -= amount
+}
+
+// bucket returns a workspace's bucket, refilled up to now.
+func (l *Ledger) bucket(w *fleet.Workspace, share float64, now time.Time) *bucket {
+	b := l.buckets[w.Name]
+	if b == nil {
+		b = &bucket{level: w.Quota.Burst * share, refilled: now}
+		l.buckets[w.Name] = b
+	}
+	b.perSecond, b.burst = w.Quota.PerSecond, w.Quota.Burst
+	if passed := now.Sub(b.refilled); passed > 0 {
+		b.level += passed.Seconds() * b.perSecond * share
+		b.refilled = now
+	}
+	b.level = min(b.level, b.burst*share)
+	return b
+}
+
+// Used returns what this instance charged since its start, by workspace.
+func (l *Ledger) Used() map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used := make(map[string]float64, len(l.own))
+	for name, amount := range l.own {
+		used[name] = amount
+	}
+	return used
+}
+
+// Heard records what another instance charged since its start. from names one
+// start of it. A report repeated or overtaken changes nothing but the time.
+func (l *Ledger) Heard(from string, used map[string]float64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.others[from]
+	if o == nil {
+		o = &other{used: make(map[string]float64)}
+		l.others[from] = o
+		// What a new instance used before this one heard of it is not known to be
+		// recent, so it only sets the start.
+		for name, amount := range used {
+			o.used[name] = amount
+		}
+	}
+	o.heard = now
+	for name, amount := range used {
+		if b := l.buckets[name]; b != nil {
+			b.level -= amount - o.used[name]
+		}
+		o.used[name] = amount
+	}
+	for name, old := range l.others {
+		if now.Sub(old.heard) > forgetAfter {
+			delete(l.others, name)
+		}
+	}
+}
+
+// forgetAfter is the silence after which an instance's record is dropped.
+const forgetAfter = time.Minute
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -77,10 +77,14 @@
 type bucket struct{ credit atomic.Int64 }
 
 func (b *bucket) deposit(retries float64) {
-	amount := int64(retries * creditUnit)
+	b.depositUpTo(int64(retries*creditUnit), burst*creditUnit)
+}
+
+// depositUpTo adds credit up to a limit; both are in units of credit.
+func (b *bucket) depositUpTo(amount, limit int64) {
 	for {
 		old := b.credit.Load()
-		if b.credit.CompareAndSwap(old, min(old+amount, burst*creditUnit)) {
+		if b.credit.CompareAndSwap(old, min(old+amount, max(limit, 0))) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/serve/choose.go
@@ -0,0 +1,142 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+)
+
+const (
+	// homeShare is the part of the shared prompt that its home is assumed to keep
+	// when nothing is known.
+	homeShare = 0.7
+	// slowdownPerSlot is the delay that each running request adds to the tokens of
+	// the others, as a part of the time to the first token.
+	batchPenalty = 150 * time.Millisecond
+	// otherZonePenalty prices bytes between zones.
+	otherZonePenalty = 2 * time.Millisecond
+)
+
+// candidate is a server that may take a request, with its prediction.
+type candidate struct {
+	server   *fleet.Server
+	estimate forecast.Estimate
+	cost     time.Duration
+}
+
+// placement is what a choice depends on.
+type placement struct {
+	zone      string
+	pool      *fleet.Pool
+	servers   []*fleet.Server
+	exclude   []machine.ID
+	prompt    *forecast.Prompt
+	suspected func(machine.ID) bool
+	predict   func(machine.ID) forecast.Estimate
+	seed      uint64
+}
+
+// choose returns the cheapest usable server, and false when there is none.
+// Suspected servers are used only when there is no other. Requests that share
+// the beginning of a prompt are drawn to one server, its home, by rendezvous hashing.
+func choose(p *placement) (candidate, bool) {
+	if best, ok := p.cheapest(false); ok {
+		return best, true
+	}
+	return p.cheapest(true)
+}
+
+func (p *placement) cheapest(suspects bool) (candidate, bool) {
+	var best candidate
+	found := false
+	home := p.home(suspects)
+	draw := p.seed
+	for _, s := range p.servers {
+		if !p.usable(s, suspects) {
+			continue
+		}
+		c := p.candidate(s, s == home)
+		draw = draw*6364136223846793005 + 1442695040888963407
+		c.cost += time.Duration(draw >> 44) // up to 1 ms, so that equals are spread
+		if !found || c.cost < best.cost {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+func (p *placement) usable(s *fleet.Server, suspects bool) bool {
+	if !s.Usable() || p.suspected(s.ID) != suspects {
+		return false
+	}
+	for _, id := range p.exclude {
+		if id == s.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// home is the server that the shared part of the prompt hashes to.
+func (p *placement) home(suspects bool) *fleet.Server {
+	if p.prompt == nil || len(p.prompt.Parts) < 2 {
+		return nil
+	}
+	key := p.prompt.Parts[len(p.prompt.Parts)-2].ID
+	var best *fleet.Server
+	var high uint64
+	for _, s := range p.servers {
+		if !p.usable(s, suspects) {
+			continue
+		}
+		if score := mix(xxhash.Sum64String(string(s.ID)) ^ key); best == nil || score > high {
+			best, high = s, score
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (p *placement) candidate(s *fleet.Server, home bool) candidate {
+	c := candidate{server: s, estimate: p.predict(s.ID)}
+	c.cost = c.estimate.FirstToken
+	if home {
+		c.cost -= p.homeCredit(&c.estimate)
+	}
+	slots := max(s.Slots, 1)
+	c.cost += batchPenalty * time.Duration(c.estimate.Work.Active) / time.Duration(slots)
+	if c.estimate.Work.Active >= slots {
+		c.cost += time.Duration(c.estimate.Work.Active-slots+1) * batchPenalty / 4
+	}
+	if s.Zone != p.zone {
+		c.cost += otherZonePenalty
+	}
+	return c
+}
+
+// homeCredit is the time saved by the shared part that the home is likely to
+// keep although nothing is known of it here.
+func (p *placement) homeCredit(e *forecast.Estimate) time.Duration {
+	shared := 0
+	for _, part := range p.prompt.Parts[:len(p.prompt.Parts)-1] {
+		shared += part.Tokens
+	}
+	unknown := homeShare*float64(shared) - float64(e.Cached)
+	toRead := e.Work.WaitingTokens + max(p.prompt.Tokens-e.Cached, 0)
+	if unknown <= 0 || toRead == 0 {
+		return 0
+	}
+	return time.Duration(unknown / float64(toRead) * float64(e.FirstToken))
+}
--- /dev/null
+++ b/internal/serve/refuse.go
@@ -0,0 +1,71 @@
+package serve
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+)
+
+const (
+	// deadlineShare is the part of the time left that the wait for the first
+	// token may take.
+	deadlineShare = 0.7
+	// minRetryAfter is the least time after which a refused caller may return.
+	minRetryAfter = 150 * time.Millisecond
+)
+
+// lateness returns when the caller of a request that no server would answer in
+// time may come back, and 0 when the best server is quick enough.
+func (r *run) lateness(best *candidate, now time.Time) time.Duration {
+	end := r.req.End()
+	if end.IsZero() || r.req.Prompt == nil {
+		return 0
+	}
+	left := time.Duration(deadlineShare * float64(end.Sub(now)))
+	if best.estimate.FirstToken <= left {
+		return 0
+	}
+	return r.retryAfter(best.estimate.FirstToken - left)
+}
+
+// retryAfter spreads callers that come back over as long again as the wait.
+func (r *run) retryAfter(wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	return wait + time.Duration(rand.Int64N(int64(wait)))
+}
+
+// logRefused writes the outcome of a request that got no answer of a server.
+func (s *Server) logRefused(req *Request, err *contract.Error) {
+	s.Log.WithFields(logrus.Fields{
+		"event": "request_refused", "request": req.ID, "route": req.Route.Name, "workspace": req.WorkspaceName(),
+		"kind": err.Kind, "verdict": err.Verdict, "retry_after_ms": err.RetryAfter.Milliseconds(),
+		"ms": time.Since(req.Arrived).Milliseconds(),
+	}).Info(err.Message)
+}
+
+// logServed writes the outcome of a request that was answered.
+func (r *run) logServed(server *fleet.Server, err error) {
+	entry := r.server.Log.WithFields(r.fields(server)).WithField("event", "request_served")
+	if err != nil {
+		entry.WithError(err).Info("the answer broke off")
+		return
+	}
+	entry.Info("answered")
+}
+
+// logFailed writes the outcome of an attempt that gave the caller no answer.
+func (r *run) logFailed(c candidate, err error) {
+	fields := r.fields(c.server)
+	fields["event"] = "attempt_failed"
+	fields["verdict"] = contract.VerdictOf(err)
+	fields["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
+	if errors.Is(err, errUnreachable) {
+		fields["sent"] = false
+	}
+	r.server.Log.WithFields(fields).WithError(err).Info("attempt failed")
+}
--- /dev/null
+++ b/internal/serve/run.go
@@ -0,0 +1,308 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+)
+
+const (
+	// retryAfterNoServer is when a caller may come back when no server takes its request.
+	retryAfterNoServer = time.Second
+	// bufferedBytes is the size up to which a plain answer is read whole before
+	// any of it is passed on, so that a broken one can be repeated.
+	bufferedBytes = 64 << 10
+	// attemptShare is the part of the time left after which a repeatable request
+	// is tried elsewhere, since a server may have gone silent.
+	attemptShare = 0.4
+	// unreachableTries is the number of servers that may turn out to be
+	// unreachable before any of them was sent the request.
+	unreachableTries = 4
+)
+
+// run is one request on its way through its attempts.
+type run struct {
+	server *Server
+	ctx    context.Context
+	req    *Request
+	caller Caller
+
+	pool     string
+	attempts int
+	tries    int
+	exclude  []machine.ID
+	// mayHaveRun is set when an attempt's outcome is unknown, ran when a server
+	// is known to have worked on it.
+	mayHaveRun bool
+	ran        bool
+	counted    bool
+	// begun is set once the caller has the head of the answer.
+	begun bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	last      error
+}
+
+func (r *run) serve() error {
+	r.lastEvent = r.req.LastEvent
+	r.pool = r.req.Route.PickPool(seed())
+	r.server.Budget.Request(r.pool)
+	for {
+		choice, err := r.choose()
+		if err != nil {
+			return r.giveUp(err)
+		}
+		done, err := r.attempt(choice)
+		if done {
+			r.logServed(choice.server, err)
+			return err
+		}
+		r.last = err
+		r.logFailed(choice, err)
+		if !r.mayRetry(err) {
+			return r.giveUp(err)
+		}
+		r.exclude = append(r.exclude, choice.server.ID)
+	}
+}
+
+// choose picks a server or refuses the request.
+func (r *run) choose() (candidate, error) {
+	s := r.server
+	picture := s.Picture()
+	now := time.Now()
+	p := &placement{
+		zone: s.Zone, pool: picture.Config.Pools[r.pool], servers: picture.Servers[r.pool],
+		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(),
+		suspected: func(id machine.ID) bool { return s.suspected(id, now) },
+		predict:   func(id machine.ID) forecast.Estimate { return s.Board.Predict(r.pool, id, r.req.Prompt, now) },
+	}
+	best, ok := choose(p)
+	if !ok {
+		return best, refusal(contract.KindUnavailable, "no server of the pool takes requests", retryAfterNoServer)
+	}
+	if wait := r.lateness(&best, now); wait > 0 && r.attempts == 0 {
+		return best, refusal(contract.KindUnavailable, "no server would answer in time", wait)
+	}
+	return best, nil
+}
+
+// mayRetry reports whether the request may be sent to another server.
+func (r *run) mayRetry(err error) bool {
+	if r.ctx.Err() != nil {
+		return false
+	}
+	var e *contract.Error
+	if errors.As(err, &e) && e.Verdict == contract.NotRun && errors.Is(err, errUnreachable) {
+		return r.tries < unreachableTries
+	}
+	if r.mayHaveRun && !r.req.Route.MayRepeat() {
+		return false
+	}
+	if r.begun && !r.req.Route.Resumable {
+		return false
+	}
+	return r.attempts < max(r.req.Route.MaxAttempts, 1) && r.server.Budget.Take(r.pool)
+}
+
+// giveUp ends the request without a whole answer.
+func (r *run) giveUp(err error) error {
+	if r.begun {
+		return ErrBroken
+	}
+	e := r.final(err)
+	r.server.logRefused(r.req, e)
+	return e
+}
+
+// final turns the last failure into the answer to the caller, whose verdict
+// covers all attempts.
+func (r *run) final(err error) *contract.Error {
+	var e *contract.Error
+	if !errors.As(err, &e) {
+		e = &contract.Error{Kind: contract.KindUnavailable, Message: "the request failed", Err: err}
+	}
+	out := *e
+	switch {
+	case r.ran:
+		out.Verdict = contract.Ran
+	case r.mayHaveRun:
+		out.Verdict = contract.MayHaveRun
+	default:
+		out.Verdict = contract.NotRun
+	}
+	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
+		out.Kind = contract.KindDeadline
+	}
+	if out.RetryAfter == 0 && out.Verdict == contract.NotRun {
+		out.RetryAfter = retryAfterNoServer
+	}
+	return &out
+}
+
+// errUnreachable marks an attempt of which no byte left this instance.
+var errUnreachable = errors.New("the server could not be reached")
+
+// attempt sends the request to one server and passes the answer on. done is
+// true when the caller has its final answer.
+func (r *run) attempt(c candidate) (done bool, err error) {
+	s := r.server
+	r.tries++
+	ctx, cancel := r.attemptContext()
+	defer cancel()
+	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, time.Now())
+	defer job.Done()
+	answer, err := s.Backend.Send(ctx, &Attempt{
+		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline,
+	})
+	if err != nil {
+		return false, r.unanswered(c.server, err)
+	}
+	r.attempts++
+	s.trust(c.server.ID)
+	defer answer.Body.Close()
+	if answer.Misdirected || answer.Refused {
+		return false, r.refused(c.server, answer)
+	}
+	r.noteRunning()
+	if r.req.Route.Stream && answer.Status == http.StatusOK {
+		return r.relayStream(answer, job, c.server)
+	}
+	job.FirstToken(time.Now())
+	return r.relayPlain(answer, c.server)
+}
+
+// attemptContext bounds the wait for the head of the answer of requests that
+// may be repeated elsewhere.
+func (r *run) attemptContext() (context.Context, context.CancelFunc) {
+	return context.WithCancel(r.ctx)
+}
+
+// unanswered records an attempt without an answer.
+func (r *run) unanswered(server *fleet.Server, err error) error {
+	now := time.Now()
+	if contract.VerdictOf(err) == contract.NotRun {
+		r.server.suspect(server.ID, now)
+		return errors.Join(err, errUnreachable)
+	}
+	r.attempts++
+	r.mayHaveRun = true
+	if r.ctx.Err() == nil {
+		r.server.suspect(server.ID, now)
+		r.server.observe(server.ID, true)
+	}
+	return err
+}
+
+// refused records that a server did not run the request.
+func (r *run) refused(server *fleet.Server, a *Answer) error {
+	message := "the server is full"
+	if a.Misdirected {
+		message = "another server has the address"
+		r.server.suspect(server.ID, time.Now())
+	}
+	return refusal(contract.KindUnavailable, message, r.retryAfter(0))
+}
+
+// noteRunning counts the request as begun, once.
+func (r *run) noteRunning() {
+	r.ran = true
+	if r.counted {
+		return
+	}
+	r.counted = true
+	if name := r.req.WorkspaceName(); name != "" {
+		r.server.Usage.Began(name, time.Now())
+	}
+}
+
+// relayPlain passes a plain answer on. One that broke off before any of it was
+// passed on, and a failure of the server, may be repeated.
+func (r *run) relayPlain(a *Answer, server *fleet.Server) (done bool, err error) {
+	head, err := io.ReadAll(io.LimitReader(a.Body, bufferedBytes))
+	if err != nil {
+		r.server.observe(server.ID, true)
+		r.mayHaveRun = true
+		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's answer broke off", Err: err}
+	}
+	failed := a.Status >= http.StatusInternalServerError
+	r.server.observe(server.ID, failed)
+	if failed && r.mayRepeatFailure() {
+		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.Ran, Message: "the server failed the request"}
+	}
+	if !a.Authentic && a.Status < http.StatusMultipleChoices {
+		r.mayHaveRun = true
+		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the answer does not bear the server's mark"}
+	}
+	if len(head) < bufferedBytes {
+		a.Length = int64(len(head))
+	}
+	if err := r.begin(a); err != nil {
+		return true, err
+	}
+	if err := r.caller.Write(head); err != nil {
+		return true, ErrBroken
+	}
+	return true, r.relayRest(a)
+}
+
+// mayRepeatFailure reports whether another server is worth asking after a
+// server's own failure.
+func (r *run) mayRepeatFailure() bool {
+	return r.req.Route.MayRepeat() && r.attempts < r.req.Route.MaxAttempts && r.ctx.Err() == nil &&
+		len(r.others()) > 0
+}
+
+// others are the usable servers that were not tried yet.
+func (r *run) others() []*fleet.Server {
+	return slices.DeleteFunc(slices.Clone(r.server.Picture().Servers[r.pool]), func(s *fleet.Server) bool {
+		return !s.Usable() || slices.Contains(r.exclude, s.ID)
+	})
+}
+
+func (r *run) relayRest(a *Answer) error {
+	buffer := make([]byte, bufferedBytes)
+	for {
+		n, err := a.Body.Read(buffer)
+		if n > 0 {
+			if r.caller.Write(buffer[:n]) != nil {
+				return ErrBroken
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return ErrBroken
+		}
+	}
+}
+
+// begin sends the head of the answer, once.
+func (r *run) begin(a *Answer) error {
+	if r.begun {
+		return nil
+	}
+	r.begun = true
+	if err := r.caller.Begin(a.Status, a.Header, a.Length); err != nil {
+		return ErrBroken
+	}
+	return nil
+}
+
+func (r *run) fields(server *fleet.Server) logrus.Fields {
+	return logrus.Fields{
+		"request": r.req.ID, "route": r.req.Route.Name, "workspace": r.req.WorkspaceName(), "pool": r.pool,
+		"server": server.ID, "attempt": r.attempts, "ms": time.Since(r.req.Arrived).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/serve/server.go
@@ -0,0 +1,200 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/outlier"
+	"kumquatyard/internal/retry"
+)
+
+// Quotas decides whether a workspace may use more of its quota.
+type Quotas interface {
+	// Take charges amount, or returns how long until there is room.
+	Take(workspace *fleet.Workspace, amount float64, now time.Time) (wait time.Duration, ok bool)
+	// Refund returns what a request was charged that did not run.
+	Refund(workspace *fleet.Workspace, amount float64, now time.Time)
+}
+
+// Usage counts the requests that began to run.
+type Usage interface {
+	Began(workspace string, now time.Time)
+}
+
+// Options are what a Server is built from.
+type Options struct {
+	// Zone is the instance's availability zone.
+	Zone    string
+	Picture func() *fleet.Picture
+	Backend Backend
+	Quotas  Quotas
+	Usage   Usage
+	Board   *forecast.Board
+	Budget  *retry.PoolBudget
+	Log     *logrus.Entry
+}
+
+// Server serves requests. It is safe for concurrent use.
+type Server struct {
+	Options
+	running atomic.Int64
+
+	mu       sync.Mutex
+	outliers *outlier.Detector
+	ejected  atomic.Pointer[map[machine.ID]bool]
+	suspects sync.Map // machine.ID → suspicion
+}
+
+// Ejection settings: an engine that fails is taken out for seconds, since
+// servers are replaced within a minute.
+var ejection = outlier.Settings{
+	MaxShare: 0.5, BaseEjection: 2 * time.Second, MaxEjection: 10 * time.Second, FailureShare: 0.25, SlowFactor: 100,
+}
+
+// New returns a Server.
+func New(o Options) *Server {
+	return &Server{Options: o, outliers: outlier.New(ejection)}
+}
+
+// Running returns the number of requests that are being served.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
+// ErrBroken means that the answer broke off after its head was sent: it must
+// not look complete to the caller.
+var ErrBroken = errors.New("the answer broke off")
+
+// Serve answers a request. ctx ends when the caller leaves. The error is nil
+// after a whole answer, ErrBroken after a part of one, and a *contract.Error
+// when nothing was sent to the caller.
+func (s *Server) Serve(ctx context.Context, req *Request, caller Caller) error {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	if end := req.End(); !end.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
+	}
+	charge := quotaCost(req)
+	if wait, ok := s.Quotas.Take(req.Workspace, charge, req.Arrived); !ok {
+		err := refusal(contract.KindOverloaded, "the workspace's quota is used up", wait)
+		s.logRefused(req, err)
+		return err
+	}
+	r := &run{server: s, ctx: ctx, req: req, caller: caller}
+	err := r.serve()
+	if !r.ran && !r.mayHaveRun {
+		s.Quotas.Refund(req.Workspace, charge, time.Now())
+	}
+	return err
+}
+
+// quotaCost is what a request counts as under its workspace's quota.
+func quotaCost(req *Request) float64 {
+	switch {
+	case req.Workspace == nil || !req.Workspace.Quota.InTokens:
+		return 1
+	case req.Prompt == nil:
+		return float64(req.Workspace.Quota.PlainTokens)
+	default:
+		return float64(req.Prompt.Tokens + req.Prompt.MaxOutput)
+	}
+}
+
+func refusal(kind contract.ErrorKind, message string, retryAfter time.Duration) *contract.Error {
+	return &contract.Error{Kind: kind, Verdict: contract.NotRun, Message: message, RetryAfter: retryAfter}
+}
+
+// suspicion keeps a server out of use for a while after failures.
+type suspicion struct {
+	until    time.Time
+	failures int
+}
+
+const (
+	suspectFirst = 300 * time.Millisecond
+	suspectMax   = 3 * time.Second
+)
+
+// suspect avoids a server that could not be reached.
+func (s *Server) suspect(id machine.ID, now time.Time) {
+	failures := 0
+	if old, ok := s.suspects.Load(id); ok {
+		failures = old.(suspicion).failures
+	}
+	pause := min(suspectFirst<<min(failures, 5), suspectMax)
+	s.suspects.Store(id, suspicion{until: now.Add(pause), failures: failures + 1})
+}
+
+func (s *Server) trust(id machine.ID) { s.suspects.Delete(id) }
+
+func (s *Server) suspected(id machine.ID, now time.Time) bool {
+	if ejected := s.ejected.Load(); ejected != nil && (*ejected)[id] {
+		return true
+	}
+	found, ok := s.suspects.Load(id)
+	return ok && now.Before(found.(suspicion).until)
+}
+
+// observe records whether a server answered as it should.
+func (s *Server) observe(id machine.ID, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outliers.Observe(outlier.Sample{Server: id, Failed: failed})
+}
+
+// Maintain updates the ejected servers; it is called about once a second.
+func (s *Server) Maintain(now time.Time) {
+	p := s.Picture()
+	if p == nil {
+		return
+	}
+	var members []outlier.Member
+	known := make(map[machine.ID]bool)
+	for _, servers := range p.Servers {
+		for _, server := range servers {
+			known[server.ID] = true
+			members = append(members, outlier.Member{ID: server.ID, Zone: "", Pool: server.Pool})
+		}
+	}
+	s.mu.Lock()
+	ejected := s.outliers.Update(now, members)
+	s.mu.Unlock()
+	s.logEjections(ejected)
+	s.ejected.Store(&ejected)
+	s.Board.Forget(func(id machine.ID) bool { return known[id] })
+	s.suspects.Range(func(id, _ any) bool {
+		if !known[id.(machine.ID)] {
+			s.suspects.Delete(id)
+		}
+		return true
+	})
+}
+
+func (s *Server) logEjections(ejected map[machine.ID]bool) {
+	var before map[machine.ID]bool
+	if p := s.ejected.Load(); p != nil {
+		before = *p
+	}
+	for id := range ejected {
+		if !before[id] {
+			s.Log.WithFields(logrus.Fields{"event": "server_ejected", "server": id}).Warn("the server fails requests and is avoided")
+		}
+	}
+	for id := range before {
+		if !ejected[id] {
+			s.Log.WithFields(logrus.Fields{"event": "server_readmitted", "server": id}).Info("the server is used again")
+		}
+	}
+}
+
+func seed() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/internal/serve/stream.go
@@ -0,0 +1,130 @@
+package serve
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+)
+
+// eventReader splits a stream into whole events.
+type eventReader struct {
+	source  io.Reader
+	pending []byte
+	chunk   []byte
+	err     error
+}
+
+const (
+	readChunkBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+var errEventTooLong = errors.New("an event of the stream is too long")
+
+func newEventReader(source io.Reader) *eventReader {
+	return &eventReader{source: source, chunk: make([]byte, readChunkBytes)}
+}
+
+// next returns one or more whole events, as they arrive. At the end of the
+// stream it returns what is left and io.EOF; after a failure the part of an
+// event that had arrived is dropped.
+func (e *eventReader) next() ([]byte, error) {
+	for {
+		if e.err != nil {
+			return e.rest()
+		}
+		n, err := e.source.Read(e.chunk)
+		e.pending = append(e.pending, e.chunk[:n]...)
+		e.err = err
+		if end := lastEventEnd(e.pending); end > 0 {
+			events := bytes.Clone(e.pending[:end])
+			e.pending = append(e.pending[:0], e.pending[end:]...)
+			return events, nil
+		}
+		if len(e.pending) > maxEventBytes {
+			e.err = errEventTooLong
+		}
+	}
+}
+
+func (e *eventReader) rest() ([]byte, error) {
+	if errors.Is(e.err, io.EOF) {
+		rest := e.pending
+		e.pending = nil
+		return rest, e.err
+	}
+	return nil, e.err
+}
+
+// lastEventEnd is the length of the whole events at the start of b.
+func lastEventEnd(b []byte) int {
+	end := 0
+	for _, mark := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
+		if i := bytes.LastIndex(b, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+// lastID returns the id of the last event that has one, or empty.
+func lastID(events []byte) string {
+	id := ""
+	for line := range bytes.Lines(events) {
+		value, ok := bytes.CutPrefix(line, []byte("id:"))
+		if ok {
+			id = string(bytes.TrimSpace(value))
+		}
+	}
+	return id
+}
+
+// relayStream passes events on as they arrive. After a failure a resumable
+// stream goes on at another server.
+func (r *run) relayStream(a *Answer, job *forecast.Job, server *fleet.Server) (done bool, err error) {
+	if !a.Authentic {
+		r.mayHaveRun = true
+		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the answer does not bear the server's mark"}
+	}
+	a.Length = -1
+	events := newEventReader(a.Body)
+	for {
+		part, err := events.next()
+		if len(part) > 0 {
+			job.FirstToken(time.Now())
+			if err := r.passOn(a, part); err != nil {
+				return true, err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			r.server.observe(server.ID, false)
+			return true, r.begin(a)
+		}
+		if err != nil {
+			r.mayHaveRun = true
+			if r.ctx.Err() == nil {
+				r.server.observe(server.ID, true)
+			}
+			return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's stream broke off", Err: err}
+		}
+	}
+}
+
+func (r *run) passOn(a *Answer, events []byte) error {
+	if err := r.begin(a); err != nil {
+		return err
+	}
+	if id := lastID(events); id != "" {
+		r.lastEvent = id
+	}
+	if err := r.caller.Write(events); err != nil {
+		return ErrBroken
+	}
+	return nil
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -41,8 +42,13 @@
 
 // NewLogger returns a logger that writes one key=value line for each event.
 func NewLogger(process, id, level string) *logrus.Entry {
+	return NewLoggerTo(os.Stderr, process, id, level)
+}
+
+// NewLoggerTo is NewLogger with another writer.
+func NewLoggerTo(out io.Writer, process, id, level string) *logrus.Entry {
 	logger := logrus.New()
-	logger.SetOutput(os.Stderr)
+	logger.SetOutput(out)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
 	if parsed, err := logrus.ParseLevel(level); err == nil {
 		logger.SetLevel(parsed)
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"kumquatyard/internal/contract"
+)
+
+// Call is a request to one server.
+type Call struct {
+	Address string
+	Method  string
+	// Target is the request target as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Once marks a request that must not be repeated.
+	Once bool
+	// Belongs reports whether an answer is the answer to this request; an answer
+	// that is not is skipped.
+	Belongs func(*http.Response) bool
+}
+
+const (
+	// inlineBytes is the size up to which a request is written before its answer is awaited.
+	inlineBytes = 4 << 10
+	// maxForeign is the number of answers to other requests that are skipped.
+	maxForeign = 2
+)
+
+// Do sends a call once and returns the answer's head; the body is read from
+// it. Errors are *contract.Error. The end of ctx closes the connection.
+func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
+	c, err := p.take(ctx, call.Address, call.Once)
+	if err != nil {
+		return nil, failure(contract.NotRun, "connect to the server", err)
+	}
+	x := &exchange{pool: p, call: call, conn: c, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, c.shut)
+	resp, err := x.run(ctx)
+	if err != nil {
+		x.abandon()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	pool    *Pool
+	call    *Call
+	conn    *conn
+	stop    func() bool
+	written chan error
+	sent    bool
+	// reusable is false when the answer came before the request was written, or
+	// when the server closes the connection.
+	reusable bool
+	closed   bool
+}
+
+func (x *exchange) run(ctx context.Context) (*http.Response, error) {
+	if err := x.write(); err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-x.conn.ready:
+		if err != nil {
+			return nil, failure(contract.MayHaveRun, "the server closed the connection without an answer", err)
+		}
+	case <-ctx.Done():
+		return nil, failure(contract.MayHaveRun, "no answer in time", context.Cause(ctx))
+	}
+	return x.read()
+}
+
+// write sends the request; a long one goes on while the answer is awaited.
+func (x *exchange) write() error {
+	var b bytes.Buffer
+	writeHead(&b, x.call)
+	b.Write(x.call.Body)
+	if b.Len() <= inlineBytes {
+		n, err := x.conn.Write(b.Bytes())
+		x.written <- err
+		if err != nil && n == 0 {
+			return failure(contract.NotRun, "no byte of the request was written", err)
+		}
+		if err != nil {
+			return failure(contract.MayHaveRun, "the request broke off", err)
+		}
+		return nil
+	}
+	go func() {
+		_, err := x.conn.Write(b.Bytes())
+		x.written <- err
+	}()
+	return nil
+}
+
+func writeHead(b *bytes.Buffer, call *Call) {
+	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
+	// Writing to a buffer cannot fail.
+	_ = call.Header.Write(b)
+	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+		fmt.Fprintf(b, "Content-Length: %d\r\n", len(call.Body))
+	}
+	b.WriteString("\r\n")
+}
+
+// read parses the answer's head, after those of other requests.
+func (x *exchange) read() (*http.Response, error) {
+	for range maxForeign + 1 {
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+		if err != nil {
+			return nil, failure(contract.MayHaveRun, "the server's answer is not HTTP", err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if x.call.Belongs(resp) {
+			x.prepare(resp)
+			return resp, nil
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
+			return nil, failure(contract.MayHaveRun, "an answer to another request broke off", err)
+		}
+	}
+	return nil, failure(contract.MayHaveRun, "the server sent answers to other requests only", nil)
+}
+
+func (x *exchange) prepare(resp *http.Response) {
+	select {
+	case err := <-x.written:
+		x.reusable = err == nil
+	default:
+	}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if resp.Close || !framed {
+		x.reusable = false
+	}
+	x.conn.keepFor = idleLimit(resp.Header)
+	resp.Body = &body{ReadCloser: resp.Body, x: x}
+}
+
+// idleLimit is how long the connection may stay idle by the Keep-Alive header;
+// 0 when the server states nothing.
+func idleLimit(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if !ok {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
+			return time.Duration(keepShare * float64(seconds) * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// finish ends the exchange after the whole answer was read.
+func (x *exchange) finish() {
+	if x.closed {
+		return
+	}
+	if !x.reusable || x.conn.reader.Buffered() > 0 || !x.stop() {
+		x.abandon()
+		return
+	}
+	x.closed = true
+	x.pool.put(x.call.Address, x.conn)
+}
+
+// abandon closes the connection, which makes most servers stop their work.
+func (x *exchange) abandon() {
+	if x.closed {
+		return
+	}
+	x.closed = true
+	x.stop()
+	x.pool.close(x.call.Address, x.conn)
+}
+
+// body returns the connection to the pool at its end and closes it otherwise.
+type body struct {
+	io.ReadCloser
+	x *exchange
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.x.finish()
+	case err != nil:
+		b.x.abandon()
+	}
+	return n, err
+}
+
+// Close implements io.Closer. A body that was not read to its end closes the
+// connection.
+func (b *body) Close() error {
+	b.x.abandon()
+	return nil
+}
+
+func failure(v contract.Verdict, message string, err error) *contract.Error {
+	e := &contract.Error{Kind: contract.KindUnavailable, Verdict: v, Message: message, Err: err}
+	if errors.Is(err, context.DeadlineExceeded) {
+		e.Kind = contract.KindDeadline
+	}
+	return e
+}
--- /dev/null
+++ b/internal/usage/report.go
@@ -0,0 +1,138 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"kumquatyard/internal/store"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	// settleTime is how long after a window's end its counts may still come in.
+	settleTime = 2500 * time.Millisecond
+	// reportInterval is the time between looks for windows to report.
+	reportInterval = 500 * time.Millisecond
+	// keptReports is the number of windows whose reports stay in the store.
+	keptReports = 30
+	keyPrefix   = "kumquat/usage/"
+)
+
+// Destination takes the report of a window; an exact repeat does no harm.
+type Destination interface {
+	ReportUsage(ctx context.Context, fence uint64, w Window, counts Counts) error
+}
+
+// Reporter reports each window once. The counts are created in the store
+// before they are sent, so that a repeat, also by another holder of the
+// duty, sends the same.
+type Reporter struct {
+	Counter     *Counter
+	Store       store.Store
+	Destination Destination
+	// Due is how long after a window's end its report counts.
+	Due time.Duration
+	// Now tells the corrected time of day.
+	Now func() time.Time
+	Log *logrus.Entry
+
+	next Window
+}
+
+// Run reports until ctx is done. check fails once the duty may be another's.
+func (r *Reporter) Run(ctx context.Context, fence uint64, check func() error) error {
+	if oldest := r.Counter.At(r.Now().Add(-r.Due)); oldest > r.next {
+		r.next = oldest
+	}
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := check(); err != nil {
+			return err
+		}
+		if err := r.reportDue(ctx, fence); err != nil {
+			return err
+		}
+	}
+}
+
+// reportDue reports the windows that ended. It fails when the duty is another's.
+func (r *Reporter) reportDue(ctx context.Context, fence uint64) error {
+	for {
+		now := r.Now()
+		end := r.Counter.End(r.next)
+		if now.Before(end.Add(settleTime)) {
+			return nil
+		}
+		if now.After(end.Add(r.Due)) {
+			r.Log.WithFields(logrus.Fields{"event": "usage_missed", "window": r.next}).Warn("the window could not be reported in time")
+			r.next++
+			continue
+		}
+		counts, err := r.fix(ctx, r.next)
+		if err == nil {
+			err = r.Destination.ReportUsage(ctx, fence, r.next, counts)
+		}
+		if err != nil {
+			r.Log.WithFields(logrus.Fields{"event": "usage_delayed", "window": r.next}).WithError(err).Info("the report is tried again")
+			return nil
+		}
+		r.Log.WithFields(logrus.Fields{"event": "usage_reported", "window": r.next, "fence": fence, "workspaces": len(counts)}).Info("usage reported")
+		r.next++
+	}
+}
+
+// fix returns the counts of a window as stored, after storing them if no one has.
+func (r *Reporter) fix(ctx context.Context, w Window) (Counts, error) {
+	key := keyPrefix + strconv.FormatInt(int64(w), 10)
+	item, err := r.Store.Item(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if item.Revision != 0 {
+		return decodeReport(item.Value)
+	}
+	counts := r.Counter.Total(w)
+	value, err := proto.Marshal(&pb.UsageReport{Window: int64(w), Counts: counts})
+	if err != nil {
+		return nil, fmt.Errorf("encode the report of window %d: %w", w, err)
+	}
+	if _, err := r.Store.Write(ctx, store.Put{Key: key, Value: value}); errors.Is(err, store.ErrConflict) {
+		return nil, fmt.Errorf("window %d was stored by another holder: %w", w, err)
+	} else if err != nil {
+		return nil, err
+	}
+	r.prune(ctx, w)
+	return counts, nil
+}
+
+func decodeReport(value []byte) (Counts, error) {
+	var report pb.UsageReport
+	if err := proto.Unmarshal(value, &report); err != nil {
+		return nil, fmt.Errorf("stored report: %w", err)
+	}
+	counts := Counts(report.GetCounts())
+	if counts == nil {
+		counts = make(Counts)
+	}
+	return counts, nil
+}
+
+// prune removes a report that is past all use.
+func (r *Reporter) prune(ctx context.Context, w Window) {
+	key := keyPrefix + strconv.FormatInt(int64(w-keptReports), 10)
+	if err := r.Store.Remove(ctx, key); err != nil {
+		r.Log.WithError(err).WithField("key", key).Debug("old report not removed")
+	}
+}
--- /dev/null
+++ b/internal/usage/usage.go
@@ -0,0 +1,110 @@
+// Package usage counts the requests that began to run in each window of the
+// wall clock, by workspace, and sums them over the instances. Counts only grow
+// and carry their instance's incarnation, so reports may be lost, repeated or
+// reordered. It is pure.
+package usage
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Window is the number of a window: it begins Window times its length after
+// the start of 1970.
+type Window int64
+
+// Counts are requests by workspace.
+type Counts map[string]int64
+
+// keptWindows is the number of past windows that are remembered.
+const keptWindows = 8
+
+// Counter holds the counts of this instance and those that it heard of. It is
+// safe for concurrent use.
+type Counter struct {
+	length time.Duration
+
+	mu     sync.Mutex
+	own    map[Window]Counts
+	others map[string]map[Window]Counts
+}
+
+// New returns a Counter for windows of the given length.
+func New(length time.Duration) *Counter {
+	return &Counter{length: length, own: make(map[Window]Counts), others: make(map[string]map[Window]Counts)}
+}
+
+// At returns the window that a time lies in.
+func (c *Counter) At(t time.Time) Window { return Window(t.UnixMilli() / c.length.Milliseconds()) }
+
+// End returns when a window ends.
+func (c *Counter) End(w Window) time.Time {
+	return time.UnixMilli(int64(w+1) * c.length.Milliseconds())
+}
+
+// Began counts a request that began to run at t.
+func (c *Counter) Began(workspace string, t time.Time) {
+	w := c.At(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := c.own[w]
+	if counts == nil {
+		counts = make(Counts)
+		c.own[w] = counts
+		prune(c.own, w)
+	}
+	counts[workspace]++
+}
+
+func prune(windows map[Window]Counts, newest Window) {
+	maps.DeleteFunc(windows, func(w Window, _ Counts) bool { return w <= newest-keptWindows })
+}
+
+// Own returns this instance's counts, for the other instances.
+func (c *Counter) Own() map[Window]Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[Window]Counts, len(c.own))
+	for w, counts := range c.own {
+		out[w] = maps.Clone(counts)
+	}
+	return out
+}
+
+// Heard records the counts of one incarnation of another instance. Of two
+// counts of a window the larger is the later one.
+func (c *Counter) Heard(from string, windows map[Window]Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.others[from]
+	if known == nil {
+		known = make(map[Window]Counts)
+		c.others[from] = known
+	}
+	for w, counts := range windows {
+		if known[w] == nil {
+			known[w] = make(Counts)
+			prune(known, w)
+		}
+		for workspace, n := range counts {
+			known[w][workspace] = max(known[w][workspace], n)
+		}
+	}
+}
+
+// Total sums the counts of a window over all instances.
+func (c *Counter) Total(w Window) Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	total := maps.Clone(c.own[w])
+	if total == nil {
+		total = make(Counts)
+	}
+	for _, windows := range c.others {
+		for workspace, n := range windows[w] {
+			total[workspace] += n
+		}
+	}
+	return total
+}
