follow: the store's return is noticed at once, and lapses are forgiven for 2 s from it

After an outage the first watch waited 1.5 s before the return was noted, and each removal in the next 2 s was kept for 2 s more: a server that left 3.5 s after the return was still sent to. Ruled out: the watch itself (it told of the removal within 4 ms). While the store is away the watch does not wait; removals are lapses until 2 s after the return, not after the removal.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -77,10 +77,10 @@
 }
 
 // Resync implements follow.Handler.
-func (h *configHandler) Resync(items []store.Item, _ time.Time, _ bool) { h.apply(items) }
+func (h *configHandler) Resync(items []store.Item, _, _ time.Time) { h.apply(items) }
 
 // Change implements follow.Handler.
-func (h *configHandler) Change(items []store.Item, _ time.Time, _ bool) { h.apply(items) }
+func (h *configHandler) Change(items []store.Item, _, _ time.Time) { h.apply(items) }
 
 func (h *configHandler) apply(items []store.Item) {
 	for _, item := range items {
@@ -105,35 +105,31 @@
 }
 
 // Resync implements follow.Handler.
-func (h *serverHandler) Resync(items []store.Item, now time.Time, afterOutage bool) {
+func (h *serverHandler) Resync(items []store.Item, now, lapsedUntil time.Time) {
 	servers := make([]fleet.Server, 0, len(items))
 	for _, item := range items {
 		if s, ok := h.decoded(item, now); ok {
 			servers = append(servers, s)
 		}
 	}
-	h.keeper.update(func(r *fleet.Registry) { r.Resync(servers, now, afterOutage) })
-	h.log.WithFields(logrus.Fields{"event": "servers_read", "servers": len(servers), "after_outage": afterOutage}).Info("list of servers read")
+	h.keeper.update(func(r *fleet.Registry) { r.Resync(servers, lapsedUntil) })
+	h.log.WithFields(logrus.Fields{"event": "servers_read", "servers": len(servers), "after_outage": !lapsedUntil.IsZero()}).Info("list of servers read")
 }
 
 // Change implements follow.Handler.
-func (h *serverHandler) Change(items []store.Item, now time.Time, afterOutage bool) {
+func (h *serverHandler) Change(items []store.Item, now, lapsedUntil time.Time) {
 	h.keeper.update(func(r *fleet.Registry) {
 		for _, item := range items {
-			h.apply(r, item, now, afterOutage)
+			h.apply(r, item, now, lapsedUntil)
 		}
 	})
 }
 
-func (h *serverHandler) apply(r *fleet.Registry, item store.Item, now time.Time, afterOutage bool) {
+func (h *serverHandler) apply(r *fleet.Registry, item store.Item, now, lapsedUntil time.Time) {
 	id := h.id(item.Key)
 	if item.Removed {
-		h.log.WithFields(logrus.Fields{"event": "server_removed", "server": id, "revision": item.Revision, "after_outage": afterOutage}).Info("the server's entry was removed")
-		if afterOutage {
-			r.Lapse(id, now)
-			return
-		}
-		r.Remove(id)
+		h.log.WithFields(logrus.Fields{"event": "server_removed", "server": id, "revision": item.Revision, "after_outage": !lapsedUntil.IsZero()}).Info("the server's entry was removed")
+		r.Remove(id, lapsedUntil)
 		return
 	}
 	s, ok := h.decoded(item, now)
@@ -167,13 +163,13 @@
 }
 
 // Resync implements follow.Handler.
-func (h *memberHandler) Resync(items []store.Item, _ time.Time, _ bool) {
+func (h *memberHandler) Resync(items []store.Item, _, _ time.Time) {
 	h.members = make(map[string]*pb.Instance)
 	h.apply(items)
 }
 
 // Change implements follow.Handler.
-func (h *memberHandler) Change(items []store.Item, _ time.Time, _ bool) { h.apply(items) }
+func (h *memberHandler) Change(items []store.Item, _, _ time.Time) { h.apply(items) }
 
 func (h *memberHandler) apply(items []store.Item) {
 	for _, item := range items {
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -22,18 +22,14 @@
 	LeavesIn time.Duration
 	// ReportedAt is when this instance read the report.
 	ReportedAt time.Time
-	// AbsentSince is set while the entry is missing although the server may
-	// live: it lapsed while the store was away.
-	AbsentSince time.Time
+	// LapsedUntil is set while the entry is missing although the server may
+	// live, since the store was away: from then on it is gone.
+	LapsedUntil time.Time
 }
 
 // Usable reports whether new work may be sent to the server.
 func (s *Server) Usable() bool { return s.Lifecycle == machine.Serving }
 
-// LapseGrace is how long after the store's return a missing entry may still be
-// written again by a server that lives.
-const LapseGrace = 2 * time.Second
-
 // Registry follows the reports of the servers. It is not safe for concurrent
 // use; Snapshot returns an immutable copy.
 type Registry struct {
@@ -47,7 +43,7 @@
 // one that moves an incarnation from leaving back to serving, changes nothing.
 func (r *Registry) Report(s Server) {
 	old := r.servers[s.ID]
-	if old != nil && old.AbsentSince.IsZero() && older(&s, old) {
+	if old != nil && old.LapsedUntil.IsZero() && older(&s, old) {
 		return
 	}
 	if old != nil && sameIncarnation(old, &s) {
@@ -60,27 +56,32 @@
 
 func sameIncarnation(a, b *Server) bool { return a.Born == b.Born && a.Address == b.Address }
 
-// Remove records that a server's entry was removed while the store served.
-func (r *Registry) Remove(id machine.ID) { delete(r.servers, id) }
+// Remove records that a server's entry was removed. With lapsedUntil the entry
+// may only have lapsed, and the server is kept until then.
+func (r *Registry) Remove(id machine.ID, lapsedUntil time.Time) {
+	s := r.servers[id]
+	switch {
+	case s == nil:
+	case lapsedUntil.IsZero() || s.Lifecycle != machine.Serving:
+		delete(r.servers, id)
+	case s.LapsedUntil.IsZero():
+		s = copyOf(s)
+		s.LapsedUntil = lapsedUntil
+		r.servers[id] = s
+	}
+}
 
 // Resync replaces the servers by a full list. Servers that it lacks are
-// gone; after an outage of the store they stay for LapseGrace, since
-// entries may have lapsed meanwhile.
-func (r *Registry) Resync(list []Server, now time.Time, afterOutage bool) {
+// removed.
+func (r *Registry) Resync(list []Server, lapsedUntil time.Time) {
 	present := make(map[machine.ID]bool, len(list))
 	for _, s := range list {
 		present[s.ID] = true
 		r.Report(s)
 	}
-	for id, s := range r.servers {
-		switch {
-		case present[id]:
-		case !afterOutage || s.Lifecycle != machine.Serving:
-			delete(r.servers, id)
-		case s.AbsentSince.IsZero():
-			s = copyOf(s)
-			s.AbsentSince = now
-			r.servers[id] = s
+	for id := range r.servers {
+		if !present[id] {
+			r.Remove(id, lapsedUntil)
 		}
 	}
 }
@@ -89,7 +90,7 @@
 func (r *Registry) Expire(now time.Time) bool {
 	changed := false
 	for id, s := range r.servers {
-		if !s.AbsentSince.IsZero() && now.Sub(s.AbsentSince) >= LapseGrace {
+		if !s.LapsedUntil.IsZero() && !now.Before(s.LapsedUntil) {
 			delete(r.servers, id)
 			changed = true
 		}
@@ -131,20 +132,3 @@
 
 // Get returns a server, nil when it is not known.
 func (r *Registry) Get(id machine.ID) *Server { return r.servers[id] }
-
-// Lapse records that a server's entry is missing although it may live.
-func (r *Registry) Lapse(id machine.ID, now time.Time) {
-	s := r.servers[id]
-	if s == nil {
-		return
-	}
-	if s.Lifecycle != machine.Serving {
-		r.Remove(id)
-		return
-	}
-	if s.AbsentSince.IsZero() {
-		s = copyOf(s)
-		s.AbsentSince = now
-		r.servers[id] = s
-	}
-}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,25 +16,25 @@
 const (
 	// watchWait is how long the store may hold a watch. It is short because a
 	// connection that went silent is only noticed at its end.
-	watchWait  = 1500 * time.Millisecond
+	watchWait = 1500 * time.Millisecond
+	// probeWait is the wait while the store is away, so that its return is noticed at once.
+	probeWait  = time.Millisecond
 	retryFirst = 50 * time.Millisecond
-	retryMax   = 400 * time.Millisecond
-	// outageFailures is the number of failures in a row from which the store
-	// counts as away, and leases may have lapsed.
-	outageFailures = 1
+	retryMax   = 300 * time.Millisecond
 )
 
-// Handler takes what a Follower reads. afterOutage is true until
-// settleTime after the store could not be reached: removals may then be lapses.
+// Handler takes what a Follower reads. Until lapsedUntil, which is zero unless
+// the store was away, removals may be lapses of leases whose owners are about
+// to write their entries again.
 type Handler interface {
 	// Resync replaces all items.
-	Resync(items []store.Item, now time.Time, afterOutage bool)
+	Resync(items []store.Item, now, lapsedUntil time.Time)
 	// Change applies changes in their order.
-	Change(items []store.Item, now time.Time, afterOutage bool)
+	Change(items []store.Item, now, lapsedUntil time.Time)
 }
 
-// settleTime is how long after an outage removals may be lapses of leases that
-// their owners are about to write again.
+// settleTime is how long after the store's return entries that lapsed
+// meanwhile may be written again.
 const settleTime = 2 * time.Second
 
 // Follower follows one prefix.
@@ -45,7 +45,6 @@
 	Log     *logrus.Entry
 
 	revision uint64
-	failures int
 	// away is set while the store does not answer, returned when it did again.
 	away     bool
 	returned time.Time
@@ -77,7 +76,11 @@
 	if f.revision == 0 {
 		return f.resync(ctx)
 	}
-	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, watchWait)
+	wait := watchWait
+	if f.away {
+		wait = probeWait
+	}
+	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
 	if errors.Is(err, store.ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "prefix": f.Prefix, "revision": f.revision}).Info("changes were missed; reading the list anew")
 		return f.resync(ctx)
@@ -89,7 +92,7 @@
 	f.succeeded(now)
 	f.revision = revision
 	if len(items) > 0 {
-		f.Handler.Change(items, now, f.settling(now))
+		f.Handler.Change(items, now, f.lapsedUntil(now))
 	}
 	return nil
 }
@@ -102,15 +105,20 @@
 	now := time.Now()
 	f.succeeded(now)
 	f.revision = revision
-	f.Handler.Resync(items, now, f.settling(now))
+	f.Handler.Resync(items, now, f.lapsedUntil(now))
 	return nil
 }
 
-func (f *Follower) settling(now time.Time) bool { return now.Sub(f.returned) < settleTime }
+func (f *Follower) lapsedUntil(now time.Time) time.Time {
+	until := f.returned.Add(settleTime)
+	if f.returned.IsZero() || !now.Before(until) {
+		return time.Time{}
+	}
+	return until
+}
 
 func (f *Follower) failed(err error) {
-	f.failures++
-	if f.away || f.failures < outageFailures {
+	if f.away {
 		return
 	}
 	f.away = true
@@ -118,7 +126,6 @@
 }
 
 func (f *Follower) succeeded(now time.Time) {
-	f.failures = 0
 	if !f.away {
 		return
 	}
