--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,7 @@
 const (
 	// quotaTolerance and budgetShare are the parts of the fleet's slack that are
 	// used; the rest covers what instances learn late of each other.
-	quotaTolerance = 0.3
+	quotaTolerance = 0.15
 	budgetShare    = 0.6
 	// maintainInterval is the time between looks at servers and instances.
 	maintainInterval = 500 * time.Millisecond
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -6,6 +6,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -33,8 +34,16 @@
 	refilled  time.Time
 	perSecond float64
 	burst     float64
+	// own and others are recent use by this instance and by all others, decayed
+	// over useDecay; expected is what the others are expected to have used since
+	// they were last heard, in proportion.
+	own, others float64
+	expected    float64
 }
 
+// useDecay is the time over which recent use is compared.
+const useDecay = 2 * time.Second
+
 // other is what another instance reported, cumulative since its start.
 type other struct {
 	heard time.Time
@@ -78,15 +87,33 @@
 	defer l.mu.Unlock()
 	share := l.share(now)
 	b := l.bucket(w, share, now)
-	if b.level < amount-l.tolerance*share && b.level < b.burst*share {
-		missing := amount - b.level
+	if b.level-b.expected < amount-l.tolerance*share && b.level-b.expected < b.burst*share {
+		missing := amount - b.level + b.expected
 		return time.Duration(missing / (w.Quota.PerSecond * share) * float64(time.Second)), false
 	}
-	b.level -= amount
+	b.charge(amount, float64(l.instances))
 	l.own[w.Name] += amount
 	return 0, true
 }
 
+// charge takes amount for this instance. While this instance uses its part,
+// the others use theirs: that is charged beforehand, and settled when they
+// are heard.
+func (b *bucket) charge(amount, instances float64) {
+	b.own += amount
+	b.level -= amount
+	ratio := min(b.others/max(b.own, 1), instances-1)
+	b.expected += amount * ratio
+}
+
+// settle charges what another instance used. Its message tells of a part of
+// what was expected of all others.
+func (b *bucket) settle(amount, instances float64) {
+	b.level -= amount
+	b.others += amount
+	b.expected -= b.expected / max(instances-1, 1)
+}
+
 // Refund returns what a request was charged that did not run.
 func (l *Ledger) Refund(w *fleet.Workspace, amount float64, now time.Time) {
 	if w == nil || w.Quota.PerSecond <= 0 {
@@ -108,6 +135,9 @@
 	b.perSecond, b.burst = w.Quota.PerSecond, w.Quota.Burst
 	if passed := now.Sub(b.refilled); passed > 0 {
 		b.level += passed.Seconds() * b.perSecond * share
+		keep := math.Exp(-passed.Seconds() / useDecay.Seconds())
+		b.own *= keep
+		b.others *= keep
 		b.refilled = now
 	}
 	b.level = min(b.level, b.burst*share)
@@ -143,7 +173,7 @@
 	o.heard = now
 	for name, amount := range used {
 		if b := l.buckets[name]; b != nil {
-			b.level -= amount - o.used[name]
+			b.settle(amount-o.used[name], float64(l.instances))
 		}
 		o.used[name] = amount
 	}
