--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc/pool"
 
+	"kumquatyard/internal/autoscale"
 	"kumquatyard/internal/duty"
 	"kumquatyard/internal/entry"
 	"kumquatyard/internal/fleet"
@@ -95,13 +97,30 @@
 		Name: "duties", Holder: s.Name, KV: platform.DutyStore{Store: client}, Log: log,
 		Settings: duty.Settings{TTL: s.LeaseTTL, Retry: s.LeaseTTL / 4},
 		Lead: func(ctx context.Context, lease *duty.Lease) error {
+			scaler := &autoscale.Runner{Destination: calls, Picture: d.Picture, Board: d.Board, Demand: d.Demand, Log: log}
 			reporter := &usage.Reporter{
 				Counter: d.Usage, Store: client, Destination: calls, Due: s.UsageDue, Now: d.Now, Log: log,
 			}
-			return reporter.Run(ctx, lease.Fence(), lease.Check)
+			var jobs []func(context.Context, uint64, func() error) error
+			if s.ReportsUsage {
+				jobs = append(jobs, reporter.Run)
+			}
+			if s.OrdersServers {
+				jobs = append(jobs, scaler.Run)
+			}
+			return doAll(ctx, lease, jobs)
 		},
 	}
 	if err := job.Run(ctx); err != nil {
 		log.WithError(err).WithField("event", "duty_failed").Error("duties ended")
 	}
 }
+
+// doAll does the jobs of a duty side by side; the first that fails ends all.
+func doAll(ctx context.Context, lease *duty.Lease, jobs []func(context.Context, uint64, func() error) error) error {
+	group := pool.New().WithContext(ctx).WithCancelOnError()
+	for _, job := range jobs {
+		group.Go(func(ctx context.Context) error { return job(ctx, lease.Fence(), lease.Check) })
+	}
+	return group.Wait()
+}
--- /dev/null
+++ b/internal/autoscale/autoscale.go
@@ -0,0 +1,325 @@
+// Package autoscale decides how many servers of which market each zone should
+// have: reclaimable ones in place of those on demand, enough that the loss of
+// any one zone's is borne, and servers on demand where reclaimable ones cannot
+// be had. It is pure; internal/capacity finds the cheapest mix.
+package autoscale
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"kumquatyard/internal/capacity"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/machine"
+)
+
+// Settings tune a Scaler. They are parts and times, so that they fit any pool.
+type Settings struct {
+	// Utilization is the part of a server's prompt rate that is planned with.
+	Utilization float64
+	// Occupancy is the part of a server's slots that is planned with.
+	Occupancy float64
+	// ShrinkAfter is how long a lower need has to last before servers are given back.
+	ShrinkAfter time.Duration
+	// RefusedFor is how long reclaimable servers of a zone are not asked for
+	// after an order was refused.
+	RefusedFor time.Duration
+	// RepeatAfter is how long the servers may differ from an order, beside the
+	// time they take to boot, before it is sent again.
+	RepeatAfter time.Duration
+}
+
+// DefaultSettings suit pools that boot within seconds.
+var DefaultSettings = Settings{
+	Utilization: 0.55, Occupancy: 0.6, ShrinkAfter: 8 * time.Second, RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
+}
+
+// Load is what a pool is asked for.
+type Load struct {
+	// TokensPerSecond is the prompt work that callers ask for.
+	TokensPerSecond float64
+	// ServerRate is the prompt work that one server does, in tokens a second.
+	ServerRate float64
+	// Running is the number of requests at the servers.
+	Running int
+	// Slots is the number of requests that one server runs at once.
+	Slots int
+	// Known is false until this instance has seen enough traffic to judge.
+	Known bool
+}
+
+// Input is what a plan depends on.
+type Input struct {
+	Pool    *fleet.Pool
+	Servers []*fleet.Server
+	Load    Load
+	Now     time.Time
+}
+
+// Order asks for a number of servers of one market in a zone.
+type Order struct {
+	Pool        string
+	Zone        string
+	Reclaimable bool
+	Servers     int
+}
+
+type lotKey struct {
+	zone        string
+	reclaimable bool
+}
+
+// lot is what is known of one market in one zone.
+type lot struct {
+	// ordered is the number last ordered, -1 before the first order.
+	ordered   int
+	orderedAt time.Time
+	accepted  bool
+	refusedAt time.Time
+}
+
+// Scaler plans one pool. It is not safe for concurrent use.
+type Scaler struct {
+	settings Settings
+	lots     map[lotKey]*lot
+	// needs are past needs, for a slow decrease.
+	needs []pastNeed
+	began time.Time
+}
+
+type pastNeed struct {
+	at   time.Time
+	need float64
+}
+
+// New returns a Scaler.
+func New(s Settings) *Scaler { return &Scaler{settings: s, lots: make(map[lotKey]*lot)} }
+
+func (s *Scaler) lot(key lotKey) *lot {
+	l := s.lots[key]
+	if l == nil {
+		l = &lot{ordered: -1}
+		s.lots[key] = l
+	}
+	return l
+}
+
+// census counts the servers of a pool by zone and market.
+type census struct {
+	// present are those that serve and stay, all those that are listed.
+	present map[lotKey]int
+}
+
+func count(servers []*fleet.Server) census {
+	c := census{present: make(map[lotKey]int)}
+	for _, s := range servers {
+		if s.Usable() {
+			c.present[lotKey{s.Zone, s.Reclaimable}]++
+		}
+	}
+	return c
+}
+
+// Plan returns the orders to send now.
+func (s *Scaler) Plan(in Input) []Order {
+	if s.began.IsZero() {
+		s.began = in.Now
+	}
+	have := count(in.Servers)
+	need := s.need(in, &have)
+	target := s.target(in, &have, need)
+	s.keepUntilReplaced(in, &have, target, need)
+	return s.orders(in, &have, target)
+}
+
+// need is the number of servers that the load needs, held up for a while
+// after it falls.
+func (s *Scaler) need(in Input, have *census) float64 {
+	l := in.Load
+	need := 0.0
+	if l.ServerRate > 0 {
+		need = l.TokensPerSecond / (l.ServerRate * s.settings.Utilization)
+	}
+	if l.Slots > 0 {
+		need = max(need, float64(l.Running)/(float64(l.Slots)*s.settings.Occupancy))
+	}
+	if !l.Known {
+		// Without traffic to judge by, what is there stays.
+		total := 0
+		for _, n := range have.present {
+			total += n
+		}
+		need = max(need, float64(total)*unknownShare)
+	}
+	s.needs = append(s.needs, pastNeed{in.Now, need})
+	s.needs = slices.DeleteFunc(s.needs, func(p pastNeed) bool { return in.Now.Sub(p.at) > s.settings.ShrinkAfter })
+	for _, p := range s.needs {
+		need = max(need, p.need)
+	}
+	return max(need, 1)
+}
+
+// unknownShare is the part of the servers found at the start that is kept
+// until the load is known.
+const unknownShare = 0.8
+
+// target is the cheapest mix that carries the need, also without any one
+// zone's reclaimable servers while those can be had.
+func (s *Scaler) target(in Input, have *census, need float64) map[lotKey]int {
+	var offers []capacity.Offer
+	dry := false
+	for zone, price := range in.Pool.Scaling.ZonePrices {
+		if in.Pool.Scaling.ReclaimablePrice > 0 {
+			offer := capacity.Offer{
+				Lot:          capacity.Lot{Zone: zone, Market: capacity.Reclaimable},
+				PricePerHour: price * in.Pool.Scaling.ReclaimablePrice, TokensPerSecond: 1, Max: in.Pool.Scaling.Max,
+			}
+			key := lotKey{zone, true}
+			if l := s.lots[key]; l != nil && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor {
+				offer.Max = min(offer.Max, have.present[key])
+				dry = true
+			}
+			offers = append(offers, offer)
+		}
+		offers = append(offers, capacity.Offer{
+			Lot: capacity.Lot{Zone: zone, Market: capacity.OnDemand}, PricePerHour: price, TokensPerSecond: 1, Max: in.Pool.Scaling.Max,
+		})
+	}
+	plan := capacity.Cheapest(offers, capacity.Demand{Interactive: math.Ceil(need)}, capacity.Rules{
+		InteractiveOnReclaimable: true, SurviveZoneLoss: !dry,
+	})
+	target := make(map[lotKey]int)
+	for _, c := range plan.Counts {
+		target[lotKey{c.Zone, c.Market == capacity.Reclaimable}] = c.Instances
+	}
+	s.fillZones(in, target)
+	return target
+}
+
+// fillZones raises zones to their least number of servers and cuts them to
+// their largest, on demand first.
+func (s *Scaler) fillZones(in Input, target map[lotKey]int) {
+	for zone := range in.Pool.Scaling.ZonePrices {
+		spot, demand := lotKey{zone, true}, lotKey{zone, false}
+		if missing := in.Pool.Scaling.Min - target[spot] - target[demand]; missing > 0 {
+			if in.Pool.Scaling.ReclaimablePrice > 0 {
+				target[spot] += missing
+			} else {
+				target[demand] += missing
+			}
+		}
+		if over := target[spot] + target[demand] - in.Pool.Scaling.Max; over > 0 {
+			cut := min(over, target[demand])
+			target[demand] -= cut
+			target[spot] -= over - cut
+		}
+	}
+}
+
+// keepUntilReplaced keeps servers that are to be given back until those in
+// their place serve.
+func (s *Scaler) keepUntilReplaced(in Input, have *census, target map[lotKey]int, need float64) {
+	serving := 0
+	for key, n := range have.present {
+		serving += min(n, target[key])
+	}
+	missing := int(math.Ceil(need)) - serving
+	for _, reclaimable := range []bool{true, false} {
+		for zone := range in.Pool.Scaling.ZonePrices {
+			key := lotKey{zone, reclaimable}
+			room := in.Pool.Scaling.Max - target[lotKey{zone, true}] - target[lotKey{zone, false}]
+			keep := min(max(have.present[key], s.coming(in, key))-target[key], missing, room)
+			if keep > 0 {
+				target[key] += keep
+				missing -= keep
+			}
+		}
+	}
+}
+
+// coming is the number of servers that an accepted order will have brought
+// about once they have booted.
+func (s *Scaler) coming(in Input, key lotKey) int {
+	l := s.lots[key]
+	if l == nil || !l.accepted || in.Now.Sub(l.orderedAt) > in.Pool.Scaling.BootTime+s.settings.RepeatAfter {
+		return 0
+	}
+	return l.ordered
+}
+
+// orders compares the target with what was ordered and what is there.
+func (s *Scaler) orders(in Input, have *census, target map[lotKey]int) []Order {
+	var orders []Order
+	for _, reclaimable := range []bool{true, false} {
+		for zone := range in.Pool.Scaling.ZonePrices {
+			key := lotKey{zone, reclaimable}
+			if reclaimable && in.Pool.Scaling.ReclaimablePrice <= 0 {
+				continue
+			}
+			if s.wanted(in, key, have.present[key], target[key]) {
+				orders = append(orders, Order{Pool: in.Pool.Name, Zone: zone, Reclaimable: reclaimable, Servers: target[key]})
+			}
+		}
+	}
+	slices.SortFunc(orders, compareOrders)
+	return orders
+}
+
+// compareOrders puts orders that add servers first.
+func compareOrders(a, b Order) int { return b.Servers - a.Servers }
+
+// wanted reports whether an order has to be sent.
+func (s *Scaler) wanted(in Input, key lotKey, present, target int) bool {
+	l := s.lot(key)
+	switch {
+	case l.ordered < 0 && present == target:
+		return false
+	case !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor && target >= present:
+		return false
+	case l.ordered != target:
+		return true
+	case !l.accepted:
+		return in.Now.Sub(l.orderedAt) >= s.settings.RepeatAfter
+	case present != target:
+		return in.Now.Sub(l.orderedAt) >= in.Pool.Scaling.BootTime+s.settings.RepeatAfter
+	default:
+		return false
+	}
+}
+
+// Sent records the outcome of an order.
+func (s *Scaler) Sent(o Order, outcome Outcome, now time.Time) {
+	l := s.lot(lotKey{o.Zone, o.Reclaimable})
+	l.ordered, l.orderedAt = o.Servers, now
+	l.accepted = outcome == Accepted
+	switch outcome {
+	case Accepted:
+		l.refusedAt = time.Time{}
+	case Unavailable:
+		l.refusedAt = now
+	}
+}
+
+// Outcome is what became of an order.
+type Outcome uint8
+
+const (
+	// Accepted orders are carried out.
+	Accepted Outcome = iota + 1
+	// Unavailable means that there are no such servers now.
+	Unavailable
+	// Unknown means that the order may or may not be carried out, even late.
+	Unknown
+)
+
+// Serving is the number of a pool's servers that take work.
+func Serving(servers []*fleet.Server) int {
+	n := 0
+	for _, s := range servers {
+		if s.Lifecycle == machine.Serving {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/autoscale/run.go
@@ -0,0 +1,134 @@
+package autoscale
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/demand"
+	"kumquatyard/internal/duty"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+)
+
+// ErrUnavailable means that there are no servers of the market in the zone now.
+var ErrUnavailable = errors.New("no server of this market can be had in the zone now")
+
+// Destination takes orders. It fails with ErrUnavailable, or duty.ErrFenced
+// after a holder with a higher fencing number.
+type Destination interface {
+	OrderServers(ctx context.Context, fence uint64, o Order) error
+}
+
+// Runner plans and orders servers while the duty is held.
+type Runner struct {
+	Destination Destination
+	Picture     func() *fleet.Picture
+	Board       *forecast.Board
+	Demand      *demand.Meter
+	Log         *logrus.Entry
+
+	scalers map[string]*Scaler
+}
+
+const (
+	planInterval = 250 * time.Millisecond
+	// maxRounds bounds the plans made at once after refusals.
+	maxRounds = 4
+)
+
+// Run orders until ctx is done. check fails once the duty may be another's.
+func (r *Runner) Run(ctx context.Context, fence uint64, check func() error) error {
+	r.scalers = make(map[string]*Scaler)
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		picture := r.Picture()
+		if picture == nil {
+			continue
+		}
+		for _, pool := range picture.Config.Pools {
+			if pool.Scaling == nil || len(picture.Servers[pool.Name]) == 0 {
+				continue
+			}
+			if err := r.scale(ctx, pool, fence, check); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// scale plans a pool and sends the orders; a refused order is planned around at once.
+func (r *Runner) scale(ctx context.Context, pool *fleet.Pool, fence uint64, check func() error) error {
+	scaler := r.scalers[pool.Name]
+	if scaler == nil {
+		scaler = New(DefaultSettings)
+		r.scalers[pool.Name] = scaler
+	}
+	for range maxRounds {
+		now := time.Now()
+		in := Input{Pool: pool, Servers: r.Picture().Servers[pool.Name], Load: r.load(pool, now), Now: now}
+		refused := false
+		for _, o := range scaler.Plan(in) {
+			if err := check(); err != nil {
+				return err
+			}
+			outcome, err := r.send(ctx, fence, o, &in)
+			if err != nil {
+				return err
+			}
+			scaler.Sent(o, outcome, time.Now())
+			refused = refused || outcome == Unavailable
+		}
+		if !refused {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Runner) send(ctx context.Context, fence uint64, o Order, in *Input) (Outcome, error) {
+	err := r.Destination.OrderServers(ctx, fence, o)
+	fields := logrus.Fields{
+		"event": "servers_ordered", "pool": o.Pool, "zone": o.Zone, "reclaimable": o.Reclaimable, "servers": o.Servers, "fence": fence,
+		"tokens_per_s": int(in.Load.TokensPerSecond), "server_rate": int(in.Load.ServerRate), "running": in.Load.Running, "serving": Serving(in.Servers),
+	}
+	entry := r.Log.WithFields(fields)
+	switch {
+	case err == nil:
+		entry.Info("order accepted")
+		return Accepted, nil
+	case errors.Is(err, ErrUnavailable):
+		entry.WithError(err).Info("order refused")
+		return Unavailable, nil
+	case errors.Is(err, duty.ErrFenced):
+		entry.WithError(err).Warn("another instance holds the duty")
+		return Unknown, err
+	default:
+		entry.WithError(err).Info("order may not have arrived")
+		return Unknown, nil
+	}
+}
+
+// load is what the pool is asked for, as far as this instance knows.
+func (r *Runner) load(pool *fleet.Pool, now time.Time) Load {
+	l := Load{ServerRate: r.Board.Rate(pool.Name), TokensPerSecond: r.Demand.Total(pool.Name, now)}
+	l.Known = r.Demand.Known(pool.Name, now)
+	if pool.Engine != nil {
+		l.Slots = pool.Engine.Slots
+	}
+	ids := make([]machine.ID, 0, len(r.Picture().Servers[pool.Name]))
+	for _, s := range r.Picture().Servers[pool.Name] {
+		ids = append(ids, s.ID)
+	}
+	l.Running = r.Board.Running(ids, now)
+	return l
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -68,6 +68,10 @@
 	Kind: contract.KindUnavailable, Verdict: contract.NotRun, Message: "duty is not held",
 }
 
+// ErrFenced means that the receiver of an order has seen a holder with a higher
+// fencing number.
+var ErrFenced = errors.New("another holder of the duty has a higher fencing number")
+
 // errTaken means that another holder came between.
 var errTaken = errors.New("duty was taken by another")
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"kumquatyard/internal/clock"
+	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/follow"
 	"kumquatyard/internal/forecast"
@@ -82,7 +83,7 @@
 	Board   *forecast.Board
 	Picture func() *fleet.Picture
 	Now     func() time.Time
-	Demand  *serve.Demand
+	Demand  *demand.Meter
 }
 
 // Instance is one entry instance.
@@ -94,6 +95,7 @@
 	counter  *usage.Counter
 	clock    *clock.Clock
 	budget   *retry.PoolBudget
+	demand   *demand.Meter
 	core     *serve.Server
 	front    Front
 	exchange *peers.Exchange
@@ -121,11 +123,12 @@
 		ledger:  quota.New(quotaTolerance * o.Settings.QuotaSlack),
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0),
+		demand:      demand.New(),
 		incarnation: uint64(now.UnixMilli()),
 	}
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Picture: i.keeper.Load, Backend: o.Backend, Quotas: i.ledger, Usage: usageByClock{i},
-		Board: i.board, Budget: i.budget, Log: o.Log,
+		Board: i.board, Budget: i.budget, Demand: i.demand, Log: o.Log,
 	})
 	i.front = o.Front(i.core, i.keeper.Load)
 	i.exchange = peers.New(peers.Options{
@@ -196,7 +199,7 @@
 }
 
 func (i *Instance) dutyContext() DutyContext {
-	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.core.Demand()}
+	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand}
 }
 
 func (i *Instance) followers() []*follow.Follower {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -43,6 +43,9 @@
 	for w, counts := range i.counter.Own() {
 		m.Windows = append(m.Windows, &pb.UsageWindow{Window: int64(w), Counts: counts})
 	}
+	for pool, rate := range i.demand.Own(time.Now()) {
+		m.Demands = append(m.Demands, &pb.PoolDemand{Pool: pool, TokensPerSecond: rate})
+	}
 	return m
 }
 
@@ -67,6 +70,11 @@
 		windows[usage.Window(w.GetWindow())] = w.GetCounts()
 	}
 	i.counter.Heard(incarnation, windows)
+	rates := make(map[string]float64, len(m.GetDemands()))
+	for _, d := range m.GetDemands() {
+		rates[d.GetPool()] = d.GetTokensPerSecond()
+	}
+	i.demand.Heard(name, rates, now)
 	i.clock.Heard(name, time.UnixMilli(m.GetUnixMs()), now)
 }
 
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -22,6 +22,16 @@
 	OutputHint int
 }
 
+// Shared is the number of leading tokens that other requests have in common:
+// all but the last part.
+func (p *Prompt) Shared() int {
+	tokens := 0
+	for i := 0; i < len(p.Parts)-1; i++ {
+		tokens += p.Parts[i].Tokens
+	}
+	return tokens
+}
+
 // Part is one part of a prompt.
 type Part struct {
 	ID     uint64
@@ -104,16 +114,17 @@
 	Work Work
 }
 
-// Predict estimates one more request at a server of a pool. confident is the
-// part of the prompt that is assumed to be cached by its home.
-func (b *Board) Predict(pool string, id machine.ID, p *Prompt, now time.Time) Estimate {
+// Predict estimates one more request at a server of a pool. assumed are the
+// leading tokens of the prompt that the server is likely to keep although
+// nothing is known of them here.
+func (b *Board) Predict(pool string, id machine.ID, p *Prompt, assumed int, now time.Time) Estimate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engine(id)
 	work := e.work(now)
 	cached := 0
 	if p != nil {
-		cached = e.cache.reusable(p)
+		cached = max(e.cache.reusable(p), assumed)
 	}
 	est := Estimate{Cached: cached, Work: work, FirstToken: firstTokenBase}
 	if p != nil {
@@ -148,15 +159,16 @@
 	finished bool
 }
 
-// Begin counts a request that is being sent.
-func (b *Board) Begin(pool string, id machine.ID, p *Prompt, now time.Time) *Job {
+// Begin counts a request that is being sent. cached are the prompt tokens that
+// the server is expected to keep.
+func (b *Board) Begin(pool string, id machine.ID, p *Prompt, cached int, now time.Time) *Job {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engine(id)
 	j := &Job{board: b, id: id, pool: pool, prompt: p, begun: now}
 	j.ahead = e.work(now).WaitingTokens
 	if p != nil {
-		j.toRead = max(p.Tokens-e.cache.reusable(p), 0)
+		j.toRead = max(p.Tokens-cached, 0)
 		e.cache.add(p)
 	}
 	e.own.add(Work{Active: 1, Waiting: 1, WaitingTokens: j.toRead})
@@ -249,3 +261,17 @@
 	defer b.mu.Unlock()
 	return b.rate(pool).perSecond
 }
+
+// Running returns the number of unfinished requests at the named servers, of
+// all instances.
+func (b *Board) Running(servers []machine.ID, now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, id := range servers {
+		if e := b.engines[id]; e != nil {
+			n += e.work(now).Active
+		}
+	}
+	return n
+}
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -13,7 +13,7 @@
 const (
 	// homeShare is the part of the shared prompt that its home is assumed to keep
 	// when nothing is known.
-	homeShare = 0.7
+	homeShare = 0.85
 	// slowdownPerSlot is the delay that each running request adds to the tokens of
 	// the others, as a part of the time to the first token.
 	batchPenalty = 150 * time.Millisecond
@@ -36,7 +36,7 @@
 	exclude   []machine.ID
 	prompt    *forecast.Prompt
 	suspected func(machine.ID) bool
-	predict   func(machine.ID) forecast.Estimate
+	predict   func(id machine.ID, assumed int) forecast.Estimate
 	seed      uint64
 }
 
@@ -110,11 +110,12 @@
 }
 
 func (p *placement) candidate(s *fleet.Server, home bool) candidate {
-	c := candidate{server: s, estimate: p.predict(s.ID)}
-	c.cost = c.estimate.FirstToken
+	assumed := 0
 	if home {
-		c.cost -= p.homeCredit(&c.estimate)
+		assumed = int(homeShare * float64(p.prompt.Shared()))
 	}
+	c := candidate{server: s, estimate: p.predict(s.ID, assumed)}
+	c.cost = c.estimate.FirstToken
 	slots := max(s.Slots, 1)
 	c.cost += batchPenalty * time.Duration(c.estimate.Work.Active) / time.Duration(slots)
 	if c.estimate.Work.Active >= slots {
@@ -125,18 +126,3 @@
 	}
 	return c
 }
-
-// homeCredit is the time saved by the shared part that the home is likely to
-// keep although nothing is known of it here.
-func (p *placement) homeCredit(e *forecast.Estimate) time.Duration {
-	shared := 0
-	for _, part := range p.prompt.Parts[:len(p.prompt.Parts)-1] {
-		shared += part.Tokens
-	}
-	unknown := homeShare*float64(shared) - float64(e.Cached)
-	toRead := e.Work.WaitingTokens + max(p.prompt.Tokens-e.Cached, 0)
-	if unknown <= 0 || toRead == 0 {
-		return 0
-	}
-	return time.Duration(unknown / float64(toRead) * float64(e.FirstToken))
-}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -85,18 +85,31 @@
 		zone: s.Zone, pool: picture.Config.Pools[r.pool], servers: picture.Servers[r.pool],
 		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(),
 		suspected: func(id machine.ID) bool { return s.suspected(id, now) },
-		predict:   func(id machine.ID) forecast.Estimate { return s.Board.Predict(r.pool, id, r.req.Prompt, now) },
+		predict:   func(id machine.ID, assumed int) forecast.Estimate {
+			return s.Board.Predict(r.pool, id, r.req.Prompt, assumed, now)
+		},
 	}
 	best, ok := choose(p)
 	if !ok {
 		return best, refusal(contract.KindUnavailable, "no server of the pool takes requests", retryAfterNoServer)
 	}
+	r.noteDemand(&best, now)
 	if wait := r.lateness(&best, now); wait > 0 && r.attempts == 0 {
 		return best, refusal(contract.KindUnavailable, "no server would answer in time", wait)
 	}
 	return best, nil
 }
 
+// outputWeight is the work of an output token in prompt tokens.
+const outputWeight = 8
+
+// noteDemand counts the work that the request asks for, once.
+func (r *run) noteDemand(best *candidate, now time.Time) {
+	if p := r.req.Prompt; p != nil && r.tries == 0 {
+		r.server.Demand.Add(r.pool, float64(max(p.Tokens-best.estimate.Cached, 0)+outputWeight*p.Output()), now)
+	}
+}
+
 // mayRetry reports whether the request may be sent to another server.
 func (r *run) mayRetry(err error) bool {
 	if r.ctx.Err() != nil {
@@ -160,7 +173,7 @@
 	r.tries++
 	ctx, cancel := r.attemptContext()
 	defer cancel()
-	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, time.Now())
+	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer job.Done()
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline,
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
@@ -41,6 +42,7 @@
 	Usage   Usage
 	Board   *forecast.Board
 	Budget  *retry.PoolBudget
+	Demand  *demand.Meter
 	Log     *logrus.Entry
 }
 
