--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -168,7 +168,6 @@
 // zone's reclaimable servers while those can be had.
 func (s *Scaler) target(in Input, have *census, need float64) map[lotKey]int {
 	var offers []capacity.Offer
-	dry := false
 	for zone, price := range in.Pool.Scaling.ZonePrices {
 		if in.Pool.Scaling.ReclaimablePrice > 0 {
 			offer := capacity.Offer{
@@ -178,7 +177,6 @@
 			key := lotKey{zone, true}
 			if l := s.lots[key]; l != nil && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor {
 				offer.Max = min(offer.Max, have.present[key])
-				dry = true
 			}
 			offers = append(offers, offer)
 		}
@@ -187,7 +185,7 @@
 		})
 	}
 	plan := capacity.Cheapest(offers, capacity.Demand{Interactive: math.Ceil(need)}, capacity.Rules{
-		InteractiveOnReclaimable: true, SurviveZoneLoss: !dry,
+		InteractiveOnReclaimable: true, SurviveZoneLoss: true,
 	})
 	target := make(map[lotKey]int)
 	for _, c := range plan.Counts {
@@ -228,12 +226,14 @@
 	for _, reclaimable := range []bool{true, false} {
 		for zone := range in.Pool.Scaling.ZonePrices {
 			key := lotKey{zone, reclaimable}
-			room := in.Pool.Scaling.Max - target[lotKey{zone, true}] - target[lotKey{zone, false}]
-			keep := min(max(have.present[key], s.coming(in, key))-target[key], missing, room)
-			if keep > 0 {
-				target[key] += keep
-				missing -= keep
+			keep := min(max(have.present[key], s.coming(in, key))-target[key], missing)
+			if keep <= 0 {
+				continue
 			}
+			target[key] += keep
+			missing -= keep
+			other := lotKey{zone, !reclaimable}
+			target[other] = min(target[other], max(in.Pool.Scaling.Max-target[key], have.present[other]))
 		}
 	}
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -42,6 +42,10 @@
 	// LongestOrder is the time within which any order of a former holder has
 	// taken effect or expired.
 	LongestOrder time.Duration
+	// Fenced is set when all receivers check the fencing number. The holder then
+	// goes on while the service does not answer, since no other can do harm by
+	// it, until the service says that the lease is gone.
+	Fenced bool
 	// Retry is the mean time between looks at a duty held by another.
 	Retry time.Duration
 }
@@ -79,8 +83,10 @@
 type Lease struct {
 	fence uint64
 	// until is when the holder stops by itself, in monotonic time.
-	until atomic.Pointer[time.Time]
-	now   func() time.Time
+	until  atomic.Pointer[time.Time]
+	fenced bool
+	lost   atomic.Bool
+	now    func() time.Time
 }
 
 // Fence is the fencing number: it grows from holder to holder.
@@ -89,7 +95,7 @@
 // Check returns ErrNotHeld when the lease may have lapsed. It must be called
 // before each order, because a frozen process does not notice its timers.
 func (l *Lease) Check() error {
-	if !l.now().Before(*l.until.Load()) {
+	if l.lost.Load() || (!l.fenced && !l.now().Before(*l.until.Load())) {
 		return ErrNotHeld
 	}
 	return nil
@@ -170,7 +176,7 @@
 }
 
 func (d *Duty) hold(ctx context.Context, session string, start time.Time) error {
-	lease := &Lease{now: time.Now}
+	lease := &Lease{now: time.Now, fenced: d.Settings.Fenced}
 	lease.extend(start, d.Settings.TTL)
 	fence, err := d.nextFence(ctx)
 	if err != nil {
@@ -247,6 +253,7 @@
 		case err == nil:
 			lease.extend(start, d.Settings.TTL)
 		case errors.Is(err, platform.ErrSessionGone):
+			lease.lost.Store(true)
 			lostTotal.Inc()
 			return err
 		default:
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -186,7 +186,7 @@
 	j.started = true
 	b.engine(j.id).own.add(Work{Waiting: -1, WaitingTokens: -j.toRead})
 	if j.prompt != nil {
-		b.rate(j.pool).observe(j.ahead+j.toRead, now.Sub(j.begun)-firstTokenBase)
+		b.rate(j.pool).observe(j.ahead, j.toRead, now.Sub(j.begun)-firstTokenBase)
 	}
 }
 
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -15,6 +15,9 @@
 	// deadlineShare is the part of the time left that the wait for the first
 	// token may take.
 	deadlineShare = 0.7
+	// lateFactor is the multiple of the latency target from which a first token
+	// comes too late to be worth the capacity.
+	lateFactor = 1.8
 	// minRetryAfter is the least time after which a refused caller may return.
 	minRetryAfter = 150 * time.Millisecond
 )
@@ -27,6 +30,9 @@
 		return 0
 	}
 	left := time.Duration(deadlineShare * float64(end.Sub(now)))
+	if target := r.req.Route.LatencyTarget; target > 0 {
+		left = min(left, time.Duration(lateFactor*float64(target)))
+	}
 	if best.estimate.FirstToken <= left {
 		return 0
 	}
