quota: a started instance does not know what was used before

Buckets now fill from the start of the process, and the number of instances is assumed until the store's list is read, which counts at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,7 @@
 	"kumquatyard/internal/store"
 	"kumquatyard/internal/telemetry"
 	"kumquatyard/internal/usage"
+	pb "kumquatyard/proto/kumquat/v1"
 )
 
 // Settings are an instance's own.
@@ -103,6 +105,7 @@
 	incarnation uint64
 	sequence    atomic.Uint64
 	stopping    atomic.Bool
+	mu          sync.Mutex
 	instances   int
 }
 
@@ -120,7 +123,7 @@
 	now := time.Now()
 	i := &Instance{
 		Options: o, keeper: newPictureKeeper(o.Log), board: forecast.NewBoard(),
-		ledger:  quota.New(quotaTolerance * o.Settings.QuotaSlack),
+		ledger:  quota.New(quotaTolerance*o.Settings.QuotaSlack, now),
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0),
 		demand:      demand.New(),
@@ -134,7 +137,6 @@
 	i.exchange = peers.New(peers.Options{
 		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Collect: i.state, Apply: i.apply, Log: o.Log,
 	})
-	i.setInstances(1)
 	return i
 }
 
@@ -207,7 +209,7 @@
 	return []*follow.Follower{
 		{Store: s, Prefix: i.ConfigKey, Log: log, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: log}},
 		{Store: s, Prefix: i.ServersPrefix, Log: log, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: log}},
-		{Store: s, Prefix: membersPrefix, Log: log, Handler: &memberHandler{prefix: membersPrefix, changed: i.exchange.SetMembers, log: log}},
+		{Store: s, Prefix: membersPrefix, Log: log, Handler: &memberHandler{prefix: membersPrefix, changed: i.setMembers, log: log}},
 	}
 }
 
@@ -246,7 +248,9 @@
 		case now := <-ticker.C:
 			i.keeper.expire(now)
 			i.core.Maintain(now)
-			i.setInstances(i.exchange.Count(now))
+			if i.keeper.Load() != nil {
+				i.setInstances(i.exchange.Count(now))
+			}
 			if i.Sweep != nil {
 				i.Sweep(now)
 			}
@@ -254,8 +258,16 @@
 	}
 }
 
+// setMembers takes the store's list of instances.
+func (i *Instance) setMembers(members []*pb.Instance) {
+	i.exchange.SetMembers(members)
+	i.setInstances(i.exchange.Count(time.Now()))
+}
+
 // setInstances shares quotas and the retry budget among n instances.
 func (i *Instance) setInstances(n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	if n == i.instances {
 		return
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -20,6 +20,9 @@
 // Ledger holds the buckets of all workspaces. It is safe for concurrent use.
 type Ledger struct {
 	mu sync.Mutex
+	// began is the start of the process: what was used before is not known, so
+	// that buckets fill from then on.
+	began time.Time
 	// tolerance is how far a bucket may be overdrawn.
 	tolerance float64
 	instances int
@@ -50,10 +53,14 @@
 	used  map[string]float64
 }
 
-// New returns a Ledger whose buckets may be overdrawn by tolerance.
-func New(tolerance float64) *Ledger {
+// assumedInstances is the number of instances until it is known.
+const assumedInstances = 8
+
+// New returns a Ledger whose buckets are empty at began and may be overdrawn by
+// tolerance.
+func New(tolerance float64, began time.Time) *Ledger {
 	return &Ledger{
-		tolerance: tolerance, instances: 1,
+		began: began, tolerance: tolerance, instances: assumedInstances,
 		buckets: make(map[string]*bucket), own: make(map[string]float64), others: make(map[string]*other),
 	}
 }
@@ -129,7 +136,7 @@
 func (l *Ledger) bucket(w *fleet.Workspace, share float64, now time.Time) *bucket {
 	b := l.buckets[w.Name]
 	if b == nil {
-		b = &bucket{level: w.Quota.Burst * share, refilled: now}
+		b = &bucket{refilled: l.began}
 		l.buckets[w.Name] = b
 	}
 	b.perSecond, b.burst = w.Quota.PerSecond, w.Quota.Burst
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"kumquatyard/internal/duty"
 	"kumquatyard/internal/store"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -84,6 +85,9 @@
 		if err == nil {
 			err = r.Destination.ReportUsage(ctx, fence, r.next, counts)
 		}
+		if errors.Is(err, duty.ErrFenced) {
+			return err
+		}
 		if err != nil {
 			r.Log.WithFields(logrus.Fields{"event": "usage_delayed", "window": r.next}).WithError(err).Info("the report is tried again")
 			return nil
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,207 @@
+package usage
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/duty"
+	"kumquatyard/internal/store"
+)
+
+const length = 5 * time.Second
+
+// Reports of an instance's counts are lost, repeated and reordered; the sum is
+// that of the latest that arrived, never more than what began.
+func TestTotalUnderLostRepeatedAndReorderedReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sender, receiver := New(length), New(length)
+		at := time.Unix(1_700_000_000, 0)
+		var sent []map[Window]Counts
+		for range rapid.IntRange(1, 30).Draw(t, "requests") {
+			sender.Began(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"), at)
+			sent = append(sent, sender.Own())
+		}
+		last := -1
+		for range rapid.IntRange(0, 40).Draw(t, "messages") {
+			i := rapid.IntRange(0, len(sent)-1).Draw(t, "message")
+			receiver.Heard("s/1", sent[i])
+			last = max(last, i)
+		}
+		want := Counts{}
+		if last >= 0 {
+			want = sent[last][sender.At(at)]
+		}
+		if diff := cmp.Diff(want, receiver.Total(receiver.At(at))); diff != "" {
+			t.Fatalf("total after message %d (-want +got):\n%s", last, diff)
+		}
+	})
+}
+
+// A restarted instance counts from nothing; what its former incarnation
+// counted stays in the sum.
+func TestRestartKeepsTheFormerCounts(t *testing.T) {
+	at := time.Unix(1_700_000_000, 0)
+	before, after, receiver := New(length), New(length), New(length)
+	before.Began("a", at)
+	before.Began("a", at)
+	receiver.Heard("s/1", before.Own())
+	after.Began("a", at)
+	receiver.Heard("s/2", after.Own())
+	if got := receiver.Total(receiver.At(at))["a"]; got != 3 {
+		t.Errorf("total = %d, want 3", got)
+	}
+}
+
+// fakeStore holds items and may lose the answers of writes.
+type fakeStore struct {
+	store.Store
+	items       map[string]store.Item
+	revision    uint64
+	loseAnswers int
+	down        bool
+}
+
+var errNoAnswer = &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "no answer"}
+
+func (s *fakeStore) Item(_ context.Context, key string) (store.Item, error) {
+	if s.down {
+		return store.Item{}, errNoAnswer
+	}
+	return s.items[key], nil
+}
+
+func (s *fakeStore) Write(_ context.Context, p store.Put) (uint64, error) {
+	if s.down {
+		return 0, errNoAnswer
+	}
+	if s.items[p.Key].Revision != p.Expect {
+		return 0, store.ErrConflict
+	}
+	s.revision++
+	s.items[p.Key] = store.Item{Key: p.Key, Value: p.Value, Revision: s.revision}
+	if s.loseAnswers > 0 {
+		s.loseAnswers--
+		return 0, errNoAnswer
+	}
+	return s.revision, nil
+}
+
+func (s *fakeStore) Remove(context.Context, ...string) error { return nil }
+
+// destination keeps all reports that arrived.
+type destination struct {
+	reports     map[Window][]Counts
+	loseAnswers int
+	fenced      bool
+}
+
+func (d *destination) ReportUsage(_ context.Context, _ uint64, w Window, counts Counts) error {
+	if d.fenced {
+		return duty.ErrFenced
+	}
+	d.reports[w] = append(d.reports[w], counts)
+	if d.loseAnswers > 0 {
+		d.loseAnswers--
+		return errNoAnswer
+	}
+	return nil
+}
+
+type fixture struct {
+	store *fakeStore
+	dest  *destination
+	now   time.Time
+}
+
+func newFixture() *fixture {
+	return &fixture{
+		store: &fakeStore{items: make(map[string]store.Item)},
+		dest:  &destination{reports: make(map[Window][]Counts)},
+		now:   time.Unix(1_700_000_000, 0),
+	}
+}
+
+func (f *fixture) reporter(c *Counter) *Reporter {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &Reporter{
+		Counter: c, Store: f.store, Destination: f.dest, Due: 10 * time.Second,
+		Now: func() time.Time { return f.now }, Log: logrus.NewEntry(log), next: c.At(f.now),
+	}
+}
+
+// Each report of a window carries the same counts, through lost answers of the
+// store and of the destination and a change of the holder to one that counted
+// differently.
+func TestWindowIsReportedWithTheSameCounts(t *testing.T) {
+	for _, lost := range []struct{ store, dest int }{{0, 0}, {1, 0}, {0, 1}, {1, 2}, {2, 1}} {
+		f := newFixture()
+		f.store.loseAnswers, f.dest.loseAnswers = lost.store, lost.dest
+		first, second := New(length), New(length)
+		w := first.At(f.now)
+		first.Began("a", f.now)
+		second.Began("a", f.now)
+		second.Began("a", f.now)
+		holders := []*Reporter{f.reporter(first), f.reporter(second)}
+		f.now = first.End(w).Add(settleTime)
+		for range 4 {
+			for _, r := range holders {
+				if err := r.reportDue(t.Context(), 1); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		reports := f.dest.reports[w]
+		if len(reports) == 0 {
+			t.Fatalf("%+v: the window was not reported", lost)
+		}
+		for _, counts := range reports[1:] {
+			if diff := cmp.Diff(reports[0], counts); diff != "" {
+				t.Errorf("%+v: reports of one window differ:\n%s", lost, diff)
+			}
+		}
+	}
+}
+
+// Nothing is sent before its counts are stored: another holder could not repeat them.
+func TestNothingIsReportedWhileTheStoreIsAway(t *testing.T) {
+	f := newFixture()
+	c := New(length)
+	w := c.At(f.now)
+	c.Began("a", f.now)
+	r := f.reporter(c)
+	f.store.down = true
+	f.now = c.End(w).Add(settleTime)
+	if err := r.reportDue(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.dest.reports) != 0 {
+		t.Fatalf("reported %v without the store", f.dest.reports)
+	}
+	f.store.down = false
+	if err := r.reportDue(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.dest.reports[w]) != 1 {
+		t.Error("the window was not reported after the store's return")
+	}
+}
+
+func TestFencedHolderStops(t *testing.T) {
+	f := newFixture()
+	f.dest.fenced = true
+	c := New(length)
+	r := f.reporter(c)
+	f.now = c.End(c.At(f.now)).Add(settleTime)
+	if err := r.reportDue(t.Context(), 1); !errors.Is(err, duty.ErrFenced) {
+		t.Errorf("reportDue = %v, want ErrFenced", err)
+	}
+}
