--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,315 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/contract"
+)
+
+// script serves the n-th request of a connection, from 0, and reports whether
+// the connection goes on.
+type script func(conn net.Conn, r *http.Request, n int) bool
+
+// scripted is a server whose answers are written byte by byte.
+type scripted struct {
+	address  string
+	requests atomic.Int64
+	conns    atomic.Int64
+	// ended receives a value for each connection that ended.
+	ended chan struct{}
+}
+
+func serve(t *testing.T, f script) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &scripted{address: l.Addr().String(), ended: make(chan struct{}, 100)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serveConn(conn, f)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serveConn(conn net.Conn, f script) {
+	defer func() { s.ended <- struct{}{} }()
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		s.requests.Add(1)
+		if !f(conn, r, n) {
+			return
+		}
+	}
+}
+
+func answer(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(address, id string, body []byte) *Call {
+	return &Call{
+		Address: address, Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: body, Once: true,
+		Belongs: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+	}
+}
+
+// get sends a call and reads the whole answer.
+func get(t *testing.T, p *Pool, c *Call) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, c)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func mustGet(t *testing.T, p *Pool, c *Call, want string) {
+	t.Helper()
+	if body, err := get(t, p, c); err != nil || body != want {
+		t.Fatalf("answer = %q, %v, want %q", body, err, want)
+	}
+}
+
+func echo(conn net.Conn, r *http.Request, _ int) bool {
+	answer(conn, r.Header.Get("Id"), "of "+r.Header.Get("Id"))
+	return true
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	s := serve(t, echo)
+	p := NewPool(DefaultSettings)
+	for _, id := range []string{"1", "2", "3"} {
+		mustGet(t, p, call(s.address, id, nil), "of "+id)
+	}
+	if s.conns.Load() != 1 {
+		t.Errorf("%d connections, want 1", s.conns.Load())
+	}
+}
+
+// A second answer to a request, sent with the first, later, or in place of the
+// next one, belongs to no other request.
+func TestAnswersToOtherRequestsAreNotPassedOn(t *testing.T) {
+	tests := map[string]script{
+		"at once": func(conn net.Conn, r *http.Request, _ int) bool {
+			echo(conn, r, 0)
+			answer(conn, r.Header.Get("Id"), "again")
+			return true
+		},
+		"while idle": func(conn net.Conn, r *http.Request, _ int) bool {
+			echo(conn, r, 0)
+			time.Sleep(10 * time.Millisecond)
+			answer(conn, r.Header.Get("Id"), "again")
+			return true
+		},
+		"before the next answer": func(conn net.Conn, r *http.Request, n int) bool {
+			if n > 0 {
+				answer(conn, "0", "again")
+			}
+			return echo(conn, r, n)
+		},
+	}
+	for name, f := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, f)
+			p := NewPool(DefaultSettings)
+			for n := range 4 {
+				id := fmt.Sprint(n)
+				mustGet(t, p, call(s.address, id, nil), "of "+id)
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	silent := func(net.Conn, *http.Request, int) bool { return false }
+	tests := map[string]struct {
+		f    script
+		want contract.Verdict
+	}{
+		"closed without an answer": {silent, contract.MayHaveRun},
+		"reset": {func(conn net.Conn, _ *http.Request, _ int) bool {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}, contract.MayHaveRun},
+		"no HTTP": {func(conn net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(conn, "garbage\r\n\r\n")
+			return false
+		}, contract.MayHaveRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, tt.f)
+			_, err := get(t, NewPool(DefaultSettings), call(s.address, "1", nil))
+			if got := contract.VerdictOf(err); err == nil || got != tt.want {
+				t.Errorf("error %v with verdict %v, want %v", err, got, tt.want)
+			}
+			if s.requests.Load() != 1 {
+				t.Errorf("the server got the request %d times, want once", s.requests.Load())
+			}
+		})
+	}
+}
+
+func TestUnreachableServerDidNotRunTheRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = get(t, NewPool(DefaultSettings), call(address, "1", nil))
+	if got := contract.VerdictOf(err); err == nil || got != contract.NotRun {
+		t.Errorf("error %v with verdict %v, want not_run", err, got)
+	}
+}
+
+// A server that closes an idle connection must not make the next request's
+// outcome unknown.
+func TestIdleConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		echo(conn, r, n)
+		return false
+	})
+	p := NewPool(DefaultSettings)
+	for n := range 5 {
+		id := fmt.Sprint(n)
+		mustGet(t, p, call(s.address, id, nil), "of "+id)
+		<-s.ended
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestBrokenAnswers(t *testing.T) {
+	tests := map[string]struct {
+		bytes string
+		whole bool
+	}{
+		"shorter than said":     {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nabc", false},
+		"chunks without an end": {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+		"ends with connection":  {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabc", true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+				_, _ = io.WriteString(conn, tt.bytes)
+				return false
+			})
+			body, err := get(t, NewPool(DefaultSettings), call(s.address, "1", nil))
+			if whole := err == nil; whole != tt.whole || body != "abc" {
+				t.Errorf("body %q, error %v, want whole %v", body, err, tt.whole)
+			}
+		})
+	}
+}
+
+// An answer that comes before a long body was read: the rest of the body must
+// not be followed by another request on that connection.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	rest := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		answer(conn, "1", "early")
+		time.Sleep(100 * time.Millisecond)
+		n, _ := io.Copy(io.Discard, reader)
+		rest <- int(n)
+	}()
+	p := NewPool(DefaultSettings)
+	body := []byte(strings.Repeat("x", 32<<20))
+	mustGet(t, p, call(l.Addr().String(), "1", body), "early")
+	if n := <-rest; n > len(body) {
+		t.Errorf("the server read %d bytes after the head, want at most the body's %d", n, len(body))
+	}
+	if n := p.Open(l.Addr().String()); n != 0 {
+		t.Errorf("%d connections are kept, want none", n)
+	}
+}
+
+// A caller that leaves ends the connection, which stops the server's work.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := NewPool(DefaultSettings).Do(ctx, call(s.address, "1", nil))
+	if contract.VerdictOf(err) != contract.MayHaveRun {
+		t.Errorf("error %v, want one that may have run", err)
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(time.Second):
+		t.Error("the connection is still open a second after the caller left")
+	}
+}
+
+func TestOnceAsksForAFreshConnection(t *testing.T) {
+	s := serve(t, echo)
+	settings := DefaultSettings
+	settings.OnceIdleLimit = 20 * time.Millisecond
+	p := NewPool(settings)
+	mustGet(t, p, call(s.address, "1", nil), "of 1")
+	time.Sleep(50 * time.Millisecond)
+	mustGet(t, p, call(s.address, "2", nil), "of 2")
+	if s.conns.Load() != 2 {
+		t.Errorf("%d connections, want a new one for the second request", s.conns.Load())
+	}
+}
+
+func TestSweepClosesIdleConnections(t *testing.T) {
+	s := serve(t, echo)
+	p := NewPool(DefaultSettings)
+	mustGet(t, p, call(s.address, "1", nil), "of 1")
+	p.Sweep(time.Now())
+	if p.Open(s.address) != 1 {
+		t.Fatal("a connection was closed before its time")
+	}
+	p.Sweep(time.Now().Add(DefaultSettings.IdleLimit + time.Second))
+	if p.Open(s.address) != 0 {
+		t.Error("an idle connection is still open after its time")
+	}
+}
