--- /dev/null
+++ b/internal/autoscale/autoscale_test.go
@@ -0,0 +1,226 @@
+package autoscale
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/machine"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const (
+	bootTime = 4 * time.Second
+	step     = 250 * time.Millisecond
+	rate     = 80_000.0
+)
+
+// cloud carries out orders: servers boot, reclaimable ones of a zone are taken
+// away after a notice, and then none are to be had for a while.
+type cloud struct {
+	servers []*simServer
+	now     time.Time
+	dryTill time.Time
+	next    int
+	cost    float64
+}
+
+type simServer struct {
+	zone        string
+	reclaimable bool
+	readyAt     time.Time
+	goneAt      time.Time
+}
+
+func (c *cloud) apply(o Order) Outcome {
+	var have []*simServer
+	for _, s := range c.servers {
+		if s.zone == o.Zone && s.reclaimable == o.Reclaimable && s.goneAt.IsZero() {
+			have = append(have, s)
+		}
+	}
+	for i := o.Servers; i < len(have); i++ {
+		have[i].goneAt = c.now.Add(2 * time.Second)
+	}
+	if o.Servers > len(have) && o.Reclaimable && c.now.Before(c.dryTill) {
+		return Unavailable
+	}
+	for range o.Servers - len(have) {
+		c.servers = append(c.servers, &simServer{zone: o.Zone, reclaimable: o.Reclaimable, readyAt: c.now.Add(bootTime)})
+	}
+	return Accepted
+}
+
+// reclaim takes a zone's reclaimable servers with a notice of 2.5 s.
+func (c *cloud) reclaim(zone string, dry time.Duration) {
+	for _, s := range c.servers {
+		if s.zone == zone && s.reclaimable && s.goneAt.IsZero() {
+			s.goneAt = c.now.Add(2500 * time.Millisecond)
+		}
+	}
+	c.dryTill = c.now.Add(dry)
+}
+
+// list is what the servers report; capacity counts those that still work.
+func (c *cloud) list() (reported []*fleet.Server, capacity int) {
+	for i, s := range c.servers {
+		if c.now.Before(s.readyAt) || (!s.goneAt.IsZero() && !c.now.Before(s.goneAt)) {
+			continue
+		}
+		capacity++
+		state := machine.Serving
+		if !s.goneAt.IsZero() {
+			state = machine.Leaving
+		}
+		reported = append(reported, &fleet.Server{
+			Server:    machine.Server{ID: machine.ID(fmt.Sprint(i)), Pool: "p", Zone: s.zone, Reclaimable: s.reclaimable},
+			Lifecycle: state, Slots: 64,
+		})
+	}
+	return reported, capacity
+}
+
+func pool() *fleet.Pool {
+	return &fleet.Pool{Name: "p", Engine: &fleet.Engine{Slots: 64}, Scaling: &fleet.Scaling{
+		Min: 1, Max: 6, BootTime: bootTime, ReclaimablePrice: 0.18, ZonePrices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1},
+	}}
+}
+
+// result is what a simulated load found.
+type result struct {
+	// short is the longest time with fewer working servers than the load needs.
+	short time.Duration
+	// cost is the price of the servers, in server-seconds on demand.
+	cost float64
+	// orders is the number of orders sent.
+	orders int
+	final  int
+}
+
+// simulate runs a Scaler against a cloud that starts with nine servers on demand.
+func simulate(length time.Duration, load func(at time.Duration) float64, event func(c *cloud, at time.Duration)) result {
+	c := &cloud{now: start}
+	for _, zone := range []string{"a", "b", "c"} {
+		for range 3 {
+			c.servers = append(c.servers, &simServer{zone: zone, readyAt: start})
+		}
+	}
+	scaler := New(DefaultSettings)
+	var r result
+	var short time.Duration
+	prices := pool().Scaling
+	for at := time.Duration(0); at < length; at += step {
+		c.now = start.Add(at)
+		event(c, at)
+		reported, capacity := c.list()
+		tokens := load(at)
+		in := Input{Pool: pool(), Servers: reported, Now: c.now, Load: Load{TokensPerSecond: tokens, ServerRate: rate, Slots: 64, Known: at > 5*time.Second}}
+		for range 4 {
+			refused := false
+			for _, o := range scaler.Plan(in) {
+				outcome := c.apply(o)
+				scaler.Sent(o, outcome, c.now)
+				refused = refused || outcome == Unavailable
+				r.orders++
+			}
+			if !refused {
+				break
+			}
+		}
+		if float64(capacity) < tokens/rate {
+			short += step
+			r.short = max(r.short, short)
+		} else {
+			short = 0
+		}
+		for _, s := range reported {
+			price := prices.ZonePrices[s.Zone]
+			if s.Reclaimable {
+				price *= prices.ReclaimablePrice
+			}
+			r.cost += price * step.Seconds()
+		}
+		r.final = capacity
+	}
+	return r
+}
+
+func quiet(*cloud, time.Duration) {}
+
+func constant(servers float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return servers * rate }
+}
+
+// A steady load moves from servers on demand to reclaimable ones.
+func TestSteadyLoadIsCarriedByReclaimableServers(t *testing.T) {
+	r := simulate(60*time.Second, constant(3), quiet)
+	if r.short > 0 {
+		t.Errorf("too few servers for %v", r.short)
+	}
+	nineOnDemand := 60 * 3 * (0.85 + 1.2 + 1)
+	if r.cost > nineOnDemand/2 {
+		t.Errorf("cost %.0f, want under half of the %.0f that the first servers cost", r.cost, nineOnDemand)
+	}
+	if r.orders > 40 {
+		t.Errorf("%d orders for a steady load", r.orders)
+	}
+}
+
+// A wave of reclaims: each zone's servers are taken in turn, 6 s apart, and
+// none can be had meanwhile. What is left and the servers on demand ordered at
+// the notices carry the load, but for the time that these take to boot.
+func TestWaveOfReclaimsWhileNoneCanBeHad(t *testing.T) {
+	zones := map[time.Duration]string{20 * time.Second: "a", 26 * time.Second: "c", 32 * time.Second: "b"}
+	r := simulate(80*time.Second, constant(4), func(c *cloud, at time.Duration) {
+		if zone, ok := zones[at]; ok {
+			c.reclaim(zone, 13*time.Second)
+		}
+	})
+	if limit := bootTime - 2500*time.Millisecond + step; r.short > limit {
+		t.Errorf("too few servers for %v, bound %v", r.short, limit)
+	}
+	if r.orders > 200 {
+		t.Errorf("%d orders", r.orders)
+	}
+}
+
+// A step of the load by half is borne by what is kept in reserve for the loss
+// of a zone.
+func TestStepOfTheLoad(t *testing.T) {
+	r := simulate(60*time.Second, func(at time.Duration) float64 {
+		if at > 30*time.Second {
+			return 4.5 * rate
+		}
+		return 3 * rate
+	}, quiet)
+	if r.short > 0 {
+		t.Errorf("too few servers for %v", r.short)
+	}
+}
+
+func TestFallOfTheLoadGivesServersBack(t *testing.T) {
+	r := simulate(90*time.Second, func(at time.Duration) float64 {
+		if at > 30*time.Second {
+			return 0.5 * rate
+		}
+		return 5 * rate
+	}, quiet)
+	if r.final > 5 {
+		t.Errorf("%d servers are left for half a server's load", r.final)
+	}
+}
+
+// Orders that get no answer are sent again, and servers that differ from what
+// was ordered, as by an order carried out late, are ordered back.
+func TestLateOrderIsUndone(t *testing.T) {
+	r := simulate(80*time.Second, constant(2), func(c *cloud, at time.Duration) {
+		if at == 40*time.Second {
+			c.apply(Order{Zone: "b", Servers: 6})
+		}
+	})
+	if r.final > 6 {
+		t.Errorf("%d servers at the end, want the stray ones given back", r.final)
+	}
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -41,11 +41,15 @@
 	attempts int
 	tries    int
 	exclude  []machine.ID
+	// current is the server of the attempt that runs.
+	current machine.ID
 	// mayHaveRun is set when an attempt's outcome is unknown, ran when a server
 	// is known to have worked on it.
 	mayHaveRun bool
 	ran        bool
 	counted    bool
+	// granted is set when the budget already allowed the next attempt.
+	granted bool
 	// begun is set once the caller has the head of the answer.
 	begun bool
 	// lastEvent is the id of the last event that the caller has.
@@ -125,6 +129,10 @@
 	if r.begun && !r.req.Route.Resumable {
 		return false
 	}
+	if r.granted {
+		r.granted = false
+		return true
+	}
 	return r.attempts < max(r.req.Route.MaxAttempts, 1) && r.server.Budget.Take(r.pool)
 }
 
@@ -171,6 +179,7 @@
 func (r *run) attempt(c candidate) (done bool, err error) {
 	s := r.server
 	r.tries++
+	r.current = c.server.ID
 	ctx, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
@@ -269,17 +278,20 @@
 	return true, r.relayRest(a)
 }
 
-// mayRepeatFailure reports whether another server is worth asking after a
-// server's own failure.
+// mayRepeatFailure reports whether another server is asked after a server's own
+// failure; otherwise the caller gets that failure.
 func (r *run) mayRepeatFailure() bool {
-	return r.req.Route.MayRepeat() && r.attempts < r.req.Route.MaxAttempts && r.ctx.Err() == nil &&
-		len(r.others()) > 0
+	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || len(r.others()) == 0 {
+		return false
+	}
+	r.granted = r.server.Budget.Take(r.pool)
+	return r.granted
 }
 
 // others are the usable servers that were not tried yet.
 func (r *run) others() []*fleet.Server {
 	return slices.DeleteFunc(slices.Clone(r.server.Picture().Servers[r.pool]), func(s *fleet.Server) bool {
-		return !s.Usable() || slices.Contains(r.exclude, s.ID)
+		return !s.Usable() || s.ID == r.current || slices.Contains(r.exclude, s.ID)
 	})
 }
 
