--- /dev/null
+++ b/internal/clock/clock_test.go
@@ -0,0 +1,49 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// now is a time with a monotonic reading.
+var now = time.Now()
+
+func TestJumpOfTheTimeOfDayIsNotFollowed(t *testing.T) {
+	c := New(now)
+	// Add keeps the monotonic reading in step, as the passing of time does.
+	if got := c.Now(now.Add(time.Second)).Sub(now.Round(0)); got != time.Second {
+		t.Errorf("a second later the clock is %v ahead of the start", got)
+	}
+}
+
+// An instance that starts while its time of day is off by seconds takes the
+// median of the others' clocks.
+func TestWrongStartIsCorrectedByTheOthers(t *testing.T) {
+	c := New(now)
+	truth := now.Round(0).Add(2400 * time.Millisecond)
+	for _, name := range []string{"a", "b", "c"} {
+		c.Heard(name, truth, now)
+	}
+	if got := c.Now(now).Sub(truth).Abs(); got > time.Millisecond {
+		t.Errorf("the corrected clock is off by %v", got)
+	}
+}
+
+func TestOneWrongClockAmongTheOthersDoesNoHarm(t *testing.T) {
+	c := New(now)
+	for _, name := range []string{"a", "b", "c"} {
+		c.Heard(name, now.Round(0), now)
+	}
+	c.Heard("d", now.Round(0).Add(-time.Minute), now)
+	if got := c.Now(now).Sub(now.Round(0)).Abs(); got > time.Millisecond {
+		t.Errorf("the clock is off by %v", got)
+	}
+}
+
+func TestSingleOtherClockIsNotFollowed(t *testing.T) {
+	c := New(now)
+	c.Heard("a", now.Round(0).Add(time.Hour), now)
+	if got := c.Now(now).Sub(now.Round(0)).Abs(); got > time.Millisecond {
+		t.Errorf("the clock is off by %v", got)
+	}
+}
--- /dev/null
+++ b/internal/forecast/forecast_test.go
@@ -0,0 +1,115 @@
+package forecast
+
+import (
+	"testing"
+	"time"
+
+	"kumquatyard/internal/machine"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func prompt(tokens int, parts ...uint64) *Prompt {
+	p := &Prompt{Tokens: tokens, MaxOutput: 100}
+	for _, id := range parts {
+		p.Parts = append(p.Parts, Part{ID: id, Tokens: tokens / len(parts)})
+	}
+	return p
+}
+
+func TestWorkAheadDelaysTheFirstToken(t *testing.T) {
+	b := NewBoard()
+	p := prompt(8000, 1, 2)
+	idle := b.Predict("p", "s", p, 0, start).FirstToken
+	job := b.Begin("p", "s", prompt(8000, 3, 4), 0, start)
+	busy := b.Predict("p", "s", p, 0, start).FirstToken
+	if busy <= idle {
+		t.Errorf("predicted %v behind other work, %v without", busy, idle)
+	}
+	job.Done()
+	if after := b.Predict("p", "s", p, 0, start).FirstToken; after != idle {
+		t.Errorf("predicted %v after the work's end, want %v", after, idle)
+	}
+}
+
+func TestWorkOfOtherInstancesCountsUntilItIsStale(t *testing.T) {
+	b := NewBoard()
+	b.SetOthers("i2", map[machine.ID]Work{"s": {Active: 3, Waiting: 1, WaitingTokens: 5000}}, start)
+	if got := b.Predict("p", "s", nil, 0, start).Work.Active; got != 3 {
+		t.Errorf("%d requests believed active, want 3", got)
+	}
+	b.SetOthers("i2", nil, start)
+	if got := b.Predict("p", "s", nil, 0, start).Work.Active; got != 0 {
+		t.Errorf("%d requests believed active after they ended, want 0", got)
+	}
+	b.SetOthers("i2", map[machine.ID]Work{"s": {Active: 3}}, start)
+	if got := b.Predict("p", "s", nil, 0, start.Add(staleWork+time.Millisecond)).Work.Active; got != 0 {
+		t.Errorf("%d requests believed active by a stale report, want 0", got)
+	}
+}
+
+func TestPartsThatWereSentCountAsCached(t *testing.T) {
+	b := NewBoard()
+	b.Begin("p", "s", prompt(6000, 1, 2, 3), 0, start).Done()
+	if got := b.Predict("p", "s", prompt(6000, 1, 2, 9), 0, start).Cached; got != 4000 {
+		t.Errorf("%d tokens believed cached, want 4000", got)
+	}
+	if got := b.Predict("p", "s", prompt(6000, 7, 2, 3), 0, start).Cached; got != 0 {
+		t.Errorf("%d tokens believed cached behind an unknown part, want 0", got)
+	}
+}
+
+// The rate settles at that of the engine, although a tenth of the answers are
+// far too late or too early.
+func TestRateIsLearned(t *testing.T) {
+	for _, truth := range []float64{30_000, 157_000} {
+		b := NewBoard()
+		now := start
+		for i := range 2000 {
+			p := prompt(8000, uint64(2*i), uint64(2*i+1))
+			job := b.Begin("p", "s", p, 0, now)
+			took := time.Duration(8000 / truth * float64(time.Second))
+			switch i % 20 {
+			case 0:
+				took *= 20
+			case 1:
+				took /= 20
+			}
+			now = now.Add(firstTokenBase + took)
+			job.FirstToken(now)
+			job.Done()
+		}
+		if got := b.Rate("p"); got < 0.9*truth || got > 1.1*truth {
+			t.Errorf("learned %.0f tokens/s, want about %.0f", got, truth)
+		}
+	}
+}
+
+// Requests that waited behind much other work say nothing of the rate.
+func TestRateIsNotLearnedUnderOverload(t *testing.T) {
+	b := NewBoard()
+	for range 500 {
+		b.Begin("p", "s", prompt(8000, 1), 0, start)
+	}
+	before := b.Rate("p")
+	for i := range 200 {
+		job := b.Begin("p", "s", prompt(8000, uint64(i)), 0, start)
+		job.FirstToken(start.Add(firstTokenBase + 100*time.Millisecond))
+	}
+	if after := b.Rate("p"); after != before {
+		t.Errorf("the rate went from %.0f to %.0f tokens/s", before, after)
+	}
+}
+
+func TestForgetKeepsServersWithOwnWork(t *testing.T) {
+	b := NewBoard()
+	job := b.Begin("p", "s", nil, 0, start)
+	b.Forget(func(machine.ID) bool { return false })
+	if got := b.Running([]machine.ID{"s"}, start); got != 1 {
+		t.Errorf("%d requests running, want 1", got)
+	}
+	job.Done()
+	if got := b.Running([]machine.ID{"s"}, start); got != 0 {
+		t.Errorf("%d requests running, want 0", got)
+	}
+}
