--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -85,7 +85,6 @@
 	lots     map[lotKey]*lot
 	// needs are past needs, for a slow decrease.
 	needs []pastNeed
-	began time.Time
 }
 
 type pastNeed struct {
@@ -121,18 +120,52 @@
 	return c
 }
 
-// Plan returns the orders to send now.
+// Plan returns the orders to send now. Reclaimable servers are ordered as if all
+// could be had; servers on demand make up for those that are neither there nor
+// on their way.
 func (s *Scaler) Plan(in Input) []Order {
-	if s.began.IsZero() {
-		s.began = in.Now
-	}
 	have := count(in.Servers)
 	need := s.need(in, &have)
-	target := s.target(in, &have, need)
+	wished := s.cheapest(in, need, true, func(key lotKey) int { return s.available(in, &have, key) })
+	sure := s.cheapest(in, need, !s.dry(in), func(key lotKey) int {
+		return min(wished[key], max(have.present[key], s.coming(in, key)))
+	})
+	target := make(map[lotKey]int)
+	for zone := range in.Pool.Scaling.ZonePrices {
+		target[lotKey{zone, true}] = wished[lotKey{zone, true}]
+		target[lotKey{zone, false}] = sure[lotKey{zone, false}]
+	}
+	s.fillZones(in, target)
 	s.keepUntilReplaced(in, &have, target, need)
 	return s.orders(in, &have, target)
 }
 
+// available is the number of reclaimable servers that a zone may have.
+func (s *Scaler) available(in Input, have *census, key lotKey) int {
+	if s.refused(in, key) {
+		return min(in.Pool.Scaling.Max, have.present[key])
+	}
+	return in.Pool.Scaling.Max
+}
+
+// refused reports whether reclaimable servers of a zone were refused lately.
+func (s *Scaler) refused(in Input, key lotKey) bool {
+	l := s.lots[key]
+	return l != nil && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor
+}
+
+// dry reports whether reclaimable servers were refused in any zone lately: the
+// loss of a zone has happened, and another's is not insured against at the
+// price of servers on demand.
+func (s *Scaler) dry(in Input) bool {
+	for key, l := range s.lots {
+		if key.reclaimable && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor+s.settings.RepeatAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // need is the number of servers that the load needs, held up for a while
 // after it falls.
 func (s *Scaler) need(in Input, have *census) float64 {
@@ -164,35 +197,30 @@
 // until the load is known.
 const unknownShare = 0.8
 
-// target is the cheapest mix that carries the need, also without any one
-// zone's reclaimable servers while those can be had.
-func (s *Scaler) target(in Input, have *census, need float64) map[lotKey]int {
+// cheapest is the cheapest mix that carries the need, with at most limit
+// reclaimable servers in a zone. With survive the need is also carried without
+// any one zone's reclaimable servers.
+func (s *Scaler) cheapest(in Input, need float64, survive bool, limit func(lotKey) int) map[lotKey]int {
 	var offers []capacity.Offer
 	for zone, price := range in.Pool.Scaling.ZonePrices {
 		if in.Pool.Scaling.ReclaimablePrice > 0 {
-			offer := capacity.Offer{
+			offers = append(offers, capacity.Offer{
 				Lot:          capacity.Lot{Zone: zone, Market: capacity.Reclaimable},
-				PricePerHour: price * in.Pool.Scaling.ReclaimablePrice, TokensPerSecond: 1, Max: in.Pool.Scaling.Max,
-			}
-			key := lotKey{zone, true}
-			if l := s.lots[key]; l != nil && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor {
-				offer.Max = min(offer.Max, have.present[key])
-			}
-			offers = append(offers, offer)
+				PricePerHour: price * in.Pool.Scaling.ReclaimablePrice, TokensPerSecond: 1, Max: limit(lotKey{zone, true}),
+			})
 		}
 		offers = append(offers, capacity.Offer{
 			Lot: capacity.Lot{Zone: zone, Market: capacity.OnDemand}, PricePerHour: price, TokensPerSecond: 1, Max: in.Pool.Scaling.Max,
 		})
 	}
 	plan := capacity.Cheapest(offers, capacity.Demand{Interactive: math.Ceil(need)}, capacity.Rules{
-		InteractiveOnReclaimable: true, SurviveZoneLoss: true,
+		InteractiveOnReclaimable: true, SurviveZoneLoss: survive,
 	})
-	target := make(map[lotKey]int)
+	mix := make(map[lotKey]int)
 	for _, c := range plan.Counts {
-		target[lotKey{c.Zone, c.Market == capacity.Reclaimable}] = c.Instances
+		mix[lotKey{c.Zone, c.Market == capacity.Reclaimable}] = c.Instances
 	}
-	s.fillZones(in, target)
-	return target
+	return mix
 }
 
 // fillZones raises zones to their least number of servers and cuts them to
@@ -275,7 +303,7 @@
 	switch {
 	case l.ordered < 0 && present == target:
 		return false
-	case !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor && target >= present:
+	case s.refused(in, key) && target >= present:
 		return false
 	case l.ordered != target:
 		return true
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -309,3 +310,46 @@
 		}
 	})
 }
+
+// A holder whose receivers check fencing numbers goes on while the service does
+// not answer, and stops when it learns that the lease is gone.
+func TestFencedHolderGoesOnWhileTheServiceIsDown(t *testing.T) {
+	for _, fenced := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := newFakeKV()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			begun := time.Now()
+			var lastOrder atomic.Int64
+			d := &Duty{
+				Name: "d", Holder: "a", KV: kv, Log: logrus.NewEntry(log),
+				Settings: Settings{TTL: 3 * time.Second, Retry: time.Second, Fenced: fenced},
+				Lead: func(ctx context.Context, lease *Lease) error {
+					for ctx.Err() == nil {
+						if err := lease.Check(); err != nil {
+							return err
+						}
+						lastOrder.Store(int64(time.Since(begun)))
+						sleep(ctx, 100*time.Millisecond)
+					}
+					return nil
+				},
+			}
+			done := make(chan error, 1)
+			go func() { done <- d.Run(ctx) }()
+			time.Sleep(5 * time.Second)
+			kv.mu.Lock()
+			kv.down = true
+			kv.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			last := time.Duration(lastOrder.Load())
+			if goesOn := last > 14*time.Second; goesOn != fenced {
+				t.Errorf("fenced %v: the last order came %v after the start", fenced, last)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
