--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -126,8 +126,8 @@
 func (s *Scaler) Plan(in Input) []Order {
 	have := count(in.Servers)
 	need := s.need(in, &have)
-	wished := s.cheapest(in, need, true, func(key lotKey) int { return s.available(in, &have, key) })
-	sure := s.cheapest(in, need, !s.dry(in), func(key lotKey) int {
+	wished := s.cheapest(in, need, func(key lotKey) int { return s.available(in, &have, key) })
+	sure := s.cheapest(in, need, func(key lotKey) int {
 		return min(wished[key], max(have.present[key], s.coming(in, key)))
 	})
 	target := make(map[lotKey]int)
@@ -154,18 +154,6 @@
 	return l != nil && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor
 }
 
-// dry reports whether reclaimable servers were refused in any zone lately: the
-// loss of a zone has happened, and another's is not insured against at the
-// price of servers on demand.
-func (s *Scaler) dry(in Input) bool {
-	for key, l := range s.lots {
-		if key.reclaimable && !l.refusedAt.IsZero() && in.Now.Sub(l.refusedAt) < s.settings.RefusedFor+s.settings.RepeatAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // need is the number of servers that the load needs, held up for a while
 // after it falls.
 func (s *Scaler) need(in Input, have *census) float64 {
@@ -198,9 +186,8 @@
 const unknownShare = 0.8
 
 // cheapest is the cheapest mix that carries the need, with at most limit
-// reclaimable servers in a zone. With survive the need is also carried without
-// any one zone's reclaimable servers.
-func (s *Scaler) cheapest(in Input, need float64, survive bool, limit func(lotKey) int) map[lotKey]int {
+// reclaimable servers in a zone, also without any one zone's reclaimable servers.
+func (s *Scaler) cheapest(in Input, need float64, limit func(lotKey) int) map[lotKey]int {
 	var offers []capacity.Offer
 	for zone, price := range in.Pool.Scaling.ZonePrices {
 		if in.Pool.Scaling.ReclaimablePrice > 0 {
@@ -214,7 +201,7 @@
 		})
 	}
 	plan := capacity.Cheapest(offers, capacity.Demand{Interactive: math.Ceil(need)}, capacity.Rules{
-		InteractiveOnReclaimable: true, SurviveZoneLoss: survive,
+		InteractiveOnReclaimable: true, SurviveZoneLoss: true,
 	})
 	mix := make(map[lotKey]int)
 	for _, c := range plan.Counts {
