--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -85,6 +85,8 @@
 	lots     map[lotKey]*lot
 	// needs are past needs, for a slow decrease.
 	needs []pastNeed
+	// first is the largest number of servers seen before the load was known.
+	first int
 }
 
 type pastNeed struct {
@@ -135,7 +137,7 @@
 		target[lotKey{zone, true}] = wished[lotKey{zone, true}]
 		target[lotKey{zone, false}] = sure[lotKey{zone, false}]
 	}
-	s.fillZones(in, target)
+	s.fillZones(in, &have, target)
 	s.keepUntilReplaced(in, &have, target, need)
 	return s.orders(in, &have, target)
 }
@@ -166,12 +168,13 @@
 		need = max(need, float64(l.Running)/(float64(l.Slots)*s.settings.Occupancy))
 	}
 	if !l.Known {
-		// Without traffic to judge by, what is there stays.
+		// Without traffic to judge by, what was there at first stays.
 		total := 0
 		for _, n := range have.present {
 			total += n
 		}
-		need = max(need, float64(total)*unknownShare)
+		s.first = max(s.first, total)
+		need = max(need, float64(s.first)*unknownShare)
 	}
 	s.needs = append(s.needs, pastNeed{in.Now, need})
 	s.needs = slices.DeleteFunc(s.needs, func(p pastNeed) bool { return in.Now.Sub(p.at) > s.settings.ShrinkAfter })
@@ -183,7 +186,7 @@
 
 // unknownShare is the part of the servers found at the start that is kept
 // until the load is known.
-const unknownShare = 0.8
+const unknownShare = 0.7
 
 // cheapest is the cheapest mix that carries the need, with at most limit
 // reclaimable servers in a zone, also without any one zone's reclaimable servers.
@@ -211,8 +214,8 @@
 }
 
 // fillZones raises zones to their least number of servers and cuts them to
-// their largest, on demand first.
-func (s *Scaler) fillZones(in Input, target map[lotKey]int) {
+// their largest: first by reclaimable ones that are not there.
+func (s *Scaler) fillZones(in Input, have *census, target map[lotKey]int) {
 	for zone := range in.Pool.Scaling.ZonePrices {
 		spot, demand := lotKey{zone, true}, lotKey{zone, false}
 		if missing := in.Pool.Scaling.Min - target[spot] - target[demand]; missing > 0 {
@@ -223,9 +226,10 @@
 			}
 		}
 		if over := target[spot] + target[demand] - in.Pool.Scaling.Max; over > 0 {
-			cut := min(over, target[demand])
-			target[demand] -= cut
-			target[spot] -= over - cut
+			absent := max(target[spot]-have.present[spot], 0)
+			cut := min(over, absent)
+			target[spot] -= cut
+			target[demand] -= min(over-cut, target[demand])
 		}
 	}
 }
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -109,14 +109,17 @@
 	}
 	scaler := New(DefaultSettings)
 	var r result
-	var short time.Duration
+	var short, knownSince time.Duration
 	prices := pool().Scaling
 	for at := time.Duration(0); at < length; at += step {
 		c.now = start.Add(at)
 		event(c, at)
 		reported, capacity := c.list()
 		tokens := load(at)
-		in := Input{Pool: pool(), Servers: reported, Now: c.now, Load: Load{TokensPerSecond: tokens, ServerRate: rate, Slots: 64, Known: at > 5*time.Second}}
+		if knownSince == 0 && tokens > 0 {
+			knownSince = max(at, step)
+		}
+		in := Input{Pool: pool(), Servers: reported, Now: c.now, Load: Load{TokensPerSecond: tokens, ServerRate: rate, Slots: 64, Known: knownSince > 0 && at-knownSince > 5*time.Second}}
 		for range 4 {
 			refused := false
 			for _, o := range scaler.Plan(in) {
@@ -212,6 +215,34 @@
 	}
 }
 
+// The zone's limit is reached by servers on demand while reclaimable ones cannot
+// be had: the orders for both must not push each other out.
+func TestOrdersDoNotSwingAtTheLimit(t *testing.T) {
+	r := simulate(60*time.Second, constant(9), func(c *cloud, at time.Duration) {
+		if at == 20*time.Second {
+			for _, zone := range []string{"a", "b", "c"} {
+				c.reclaim(zone, 25*time.Second)
+			}
+		}
+	})
+	if limit := bootTime - 2500*time.Millisecond + step; r.short > limit {
+		t.Errorf("too few servers for %v, bound %v", r.short, limit)
+	}
+}
+
+// Before any traffic the servers that were found are replaced, not given up.
+func TestServersAreKeptUntilTheLoadIsKnown(t *testing.T) {
+	r := simulate(30*time.Second, func(at time.Duration) float64 {
+		if at < 15*time.Second {
+			return 0
+		}
+		return 6 * rate
+	}, quiet)
+	if r.short > 0 {
+		t.Errorf("too few servers for %v when the traffic began", r.short)
+	}
+}
+
 // Orders that get no answer are sent again, and servers that differ from what
 // was ordered, as by an order carried out late, are ordered back.
 func TestLateOrderIsUndone(t *testing.T) {
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -65,17 +65,13 @@
 const (
 	// staleWork is the age after which another instance's report is forgotten.
 	staleWork = 2 * time.Second
-	// initialRate is the rate of prompt processing assumed at first, in tokens a second.
-	initialRate = 80_000
-	// firstTokenBase is the least time to a first token.
-	firstTokenBase = 50 * time.Millisecond
 )
 
 // Board holds the work at the engines. It is safe for concurrent use.
 type Board struct {
 	mu      sync.Mutex
 	engines map[machine.ID]*engine
-	rates   map[string]*rate
+	speeds  map[string]*speed
 }
 
 // engine is what is known of one server.
@@ -92,7 +88,7 @@
 
 // NewBoard returns an empty Board.
 func NewBoard() *Board {
-	return &Board{engines: make(map[machine.ID]*engine), rates: make(map[string]*rate)}
+	return &Board{engines: make(map[machine.ID]*engine), speeds: make(map[string]*speed)}
 }
 
 func (b *Board) engine(id machine.ID) *engine {
@@ -126,10 +122,9 @@
 	if p != nil {
 		cached = max(e.cache.reusable(p), assumed)
 	}
-	est := Estimate{Cached: cached, Work: work, FirstToken: firstTokenBase}
+	est := Estimate{Cached: cached, Work: work}
 	if p != nil {
-		tokens := float64(work.WaitingTokens + max(p.Tokens-cached, 0))
-		est.FirstToken += time.Duration(tokens / b.rate(pool).perSecond * float64(time.Second))
+		est.FirstToken = b.speed(pool).firstToken(work.WaitingTokens + max(p.Tokens-cached, 0))
 	}
 	return est
 }
@@ -186,7 +181,7 @@
 	j.started = true
 	b.engine(j.id).own.add(Work{Waiting: -1, WaitingTokens: -j.toRead})
 	if j.prompt != nil {
-		b.rate(j.pool).observe(j.ahead, j.toRead, now.Sub(j.begun)-firstTokenBase)
+		b.speed(j.pool).observe(j.ahead, j.toRead, now.Sub(j.begun))
 	}
 }
 
@@ -245,13 +240,13 @@
 	}
 }
 
-func (b *Board) rate(pool string) *rate {
-	r := b.rates[pool]
-	if r == nil {
-		r = &rate{perSecond: initialRate}
-		b.rates[pool] = r
+func (b *Board) speed(pool string) *speed {
+	s := b.speeds[pool]
+	if s == nil {
+		s = newSpeed()
+		b.speeds[pool] = s
 	}
-	return r
+	return s
 }
 
 // Rate returns the learned rate of prompt processing of one server of a pool,
@@ -259,7 +254,7 @@
 func (b *Board) Rate(pool string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rate(pool).perSecond
+	return b.speed(pool).perSecond
 }
 
 // Running returns the number of unfinished requests at the named servers, of
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -62,20 +62,24 @@
 // The rate settles at that of the engine, although a tenth of the answers are
 // far too late or too early.
 func TestRateIsLearned(t *testing.T) {
+	const truthBase = 26 * time.Millisecond
 	for _, truth := range []float64{30_000, 157_000} {
 		b := NewBoard()
 		now := start
 		for i := range 2000 {
-			p := prompt(8000, uint64(2*i), uint64(2*i+1))
-			job := b.Begin("p", "s", p, 0, now)
-			took := time.Duration(8000 / truth * float64(time.Second))
+			tokens := 8000
+			if i%3 == 0 {
+				tokens = 800
+			}
+			job := b.Begin("p", "s", prompt(tokens, uint64(2*i), uint64(2*i+1)), 0, now)
+			took := truthBase + time.Duration(float64(tokens)/truth*float64(time.Second))
 			switch i % 20 {
 			case 0:
 				took *= 20
 			case 1:
 				took /= 20
 			}
-			now = now.Add(firstTokenBase + took)
+			now = now.Add(took)
 			job.FirstToken(now)
 			job.Done()
 		}
@@ -94,7 +98,7 @@
 	before := b.Rate("p")
 	for i := range 200 {
 		job := b.Begin("p", "s", prompt(8000, uint64(i)), 0, start)
-		job.FirstToken(start.Add(firstTokenBase + 100*time.Millisecond))
+		job.FirstToken(start.Add(100*time.Millisecond))
 	}
 	if after := b.Rate("p"); after != before {
 		t.Errorf("the rate went from %.0f to %.0f tokens/s", before, after)
--- a/internal/forecast/rate.go
+++ b/internal/forecast/rate.go
@@ -3,30 +3,58 @@
 import "time"
 
 const (
-	// rateStep is the relative change of the learned rate by one observation.
-	rateStep = 0.02
-	// minRate and maxRate bound the learned rate, in tokens a second.
+	// initialRate is the rate of prompt processing assumed at first, in tokens a second.
+	initialRate = 80_000
+	// initialBase is the least time to a first token assumed at first.
+	initialBase = 50 * time.Millisecond
+	// speedStep is the relative change of a learned value by one observation.
+	speedStep = 0.02
+	// minRate and maxRate bound the learned rate, in tokens a second, and minBase
+	// and maxBase the learned least time.
 	minRate = 10_000
 	maxRate = 1_000_000
-	// minRateTokens is the least work that says something of the rate.
-	minRateTokens = 2_500
+	minBase = 5 * time.Millisecond
+	maxBase = 500 * time.Millisecond
+	// shortTokens and longTokens tell prompts from which the least time is
+	// learned from those from which the rate is.
+	shortTokens = 1_200
+	longTokens  = 4_000
 	// aheadShare bounds the work before a request, as a part of its own, with
 	// which it is observed: how long that work took is not known well.
 	aheadShare = 0.5
 )
 
-// rate is a learned rate of prompt processing: the median of the observations,
-// found by stochastic approximation (Robbins and Monro, 1951), so that single
-// wrong ones hardly move it.
-type rate struct{ perSecond float64 }
+// speed is what is learned of the engines of a pool: the time to a first token
+// is base, plus the tokens to read over the rate. Both are medians of the
+// observations, found by stochastic approximation (Robbins and Monro, 1951), so
+// that single wrong ones hardly move them.
+type speed struct {
+	perSecond float64
+	base      time.Duration
+}
+
+func newSpeed() *speed { return &speed{perSecond: initialRate, base: initialBase} }
 
-func (r *rate) observe(ahead, own int, took time.Duration) {
-	if own < minRateTokens || took <= 0 || float64(ahead) > aheadShare*float64(own) {
+// firstToken predicts the time to a first token behind tokens to be read.
+func (s *speed) firstToken(tokens int) time.Duration {
+	return s.base + time.Duration(float64(tokens)/s.perSecond*float64(time.Second))
+}
+
+// observe takes the time to the first token of a request with own tokens to
+// read, behind those ahead.
+func (s *speed) observe(ahead, own int, took time.Duration) {
+	if took <= 0 || float64(ahead) > aheadShare*float64(max(own, shortTokens)) {
 		return
 	}
-	if float64(ahead+own)/took.Seconds() > r.perSecond {
-		r.perSecond = min(r.perSecond*(1+rateStep), maxRate)
-		return
+	faster := took < s.firstToken(ahead+own)
+	switch {
+	case own >= longTokens && faster:
+		s.perSecond = min(s.perSecond*(1+speedStep), maxRate)
+	case own >= longTokens:
+		s.perSecond = max(s.perSecond/(1+speedStep), minRate)
+	case own <= shortTokens && faster:
+		s.base = max(time.Duration(float64(s.base)/(1+speedStep)), minBase)
+	case own <= shortTokens:
+		s.base = min(time.Duration(float64(s.base)*(1+speedStep)), maxBase)
 	}
-	r.perSecond = max(r.perSecond/(1+rateStep), minRate)
 }
