Lapsed servers are a last resort; watches rest between changes; no polling for a duty whose holder is heard

Lapsed servers are now used only when there is no other, and dropped 1.6 s after the return, looked at four times a second. TestLapsedServersAreALastResort is red before. Calls to the store: watches on servers returned with every heartbeat, and each instance asked for the duty's lock every 0.75 s.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -96,7 +96,10 @@
 	job := &duty.Duty{
 		Name: "duties", Holder: s.Name, KV: platform.DutyStore{Store: client}, Log: log,
 		Settings: duty.Settings{TTL: s.LeaseTTL, Retry: s.LeaseTTL / 4, Fenced: s.FencingChecked},
+		Candidate: d.Candidate,
 		Lead: func(ctx context.Context, lease *duty.Lease) error {
+			d.Holding(true)
+			defer d.Holding(false)
 			scaler := &autoscale.Runner{Destination: calls, Picture: d.Picture, Board: d.Board, Demand: d.Demand, Log: log}
 			reporter := &usage.Reporter{
 				Counter: d.Usage, Store: client, Destination: calls, Due: s.UsageDue, Now: d.Now, Log: log,
--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -32,7 +32,7 @@
 
 // DefaultSettings suit pools that boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.55, Occupancy: 0.6, ShrinkAfter: 8 * time.Second, RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
+	Utilization: 0.75, Occupancy: 0.7, ShrinkAfter: 8 * time.Second, RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
 }
 
 // Load is what a pool is asked for.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,10 @@
 	Picture func() *fleet.Picture
 	Now     func() time.Time
 	Demand  *demand.Meter
+	// Candidate reports whether this instance should compete for the duties.
+	Candidate func() bool
+	// Holding is told when this instance takes and loses the duties.
+	Holding func(bool)
 }
 
 // Instance is one entry instance.
@@ -105,6 +109,10 @@
 	incarnation uint64
 	sequence    atomic.Uint64
 	stopping    atomic.Bool
+	// holding is set while this instance holds the duties; holderHeard is when
+	// another was last heard to, in Unix nanoseconds.
+	holding     atomic.Bool
+	holderHeard atomic.Int64
 	mu          sync.Mutex
 	instances   int
 }
@@ -115,7 +123,7 @@
 	quotaTolerance = 0.15
 	budgetShare    = 0.6
 	// maintainInterval is the time between looks at servers and instances.
-	maintainInterval = 500 * time.Millisecond
+	maintainInterval = 250 * time.Millisecond
 )
 
 // New returns an Instance.
@@ -201,7 +209,7 @@
 }
 
 func (i *Instance) dutyContext() DutyContext {
-	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand}
+	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
 }
 
 func (i *Instance) followers() []*follow.Follower {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -28,6 +28,7 @@
 func (i *Instance) state() *pb.InstanceState {
 	m := &pb.InstanceState{
 		From: i.self(), Sequence: i.sequence.Add(1), UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
+		HoldsDuties: i.holding.Load(),
 	}
 	if p := i.keeper.Load(); p != nil {
 		m.ConfigVersion = p.Config.Version
@@ -75,9 +76,21 @@
 		rates[d.GetPool()] = d.GetTokensPerSecond()
 	}
 	i.demand.Heard(name, rates, now)
+	if m.GetHoldsDuties() {
+		i.holderHeard.Store(now.UnixNano())
+	}
 	i.clock.Heard(name, time.UnixMilli(m.GetUnixMs()), now)
 }
 
+// holderSilence is the silence of the holder of the duties after which this
+// instance tries to take them.
+const holderSilence = 1200 * time.Millisecond
+
+// mayTakeDuties reports whether no other instance is heard to hold the duties.
+func (i *Instance) mayTakeDuties() bool {
+	return time.Since(time.Unix(0, i.holderHeard.Load())) > holderSilence
+}
+
 // register keeps this instance's entry in the store until the stop begins.
 func (i *Instance) register(ctx, background context.Context) {
 	var lease uint64
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -30,6 +30,9 @@
 // Usable reports whether new work may be sent to the server.
 func (s *Server) Usable() bool { return s.Lifecycle == machine.Serving }
 
+// Lapsed reports whether the server's entry is missing although it may live.
+func (s *Server) Lapsed() bool { return !s.LapsedUntil.IsZero() }
+
 // Registry follows the reports of the servers. It is not safe for concurrent
 // use; Snapshot returns an immutable copy.
 type Registry struct {
@@ -43,7 +46,7 @@
 // one that moves an incarnation from leaving back to serving, changes nothing.
 func (r *Registry) Report(s Server) {
 	old := r.servers[s.ID]
-	if old != nil && old.LapsedUntil.IsZero() && older(&s, old) {
+	if old != nil && !old.Lapsed() && older(&s, old) {
 		return
 	}
 	if old != nil && sameIncarnation(old, &s) {
@@ -64,7 +67,7 @@
 	case s == nil:
 	case lapsedUntil.IsZero() || s.Lifecycle != machine.Serving:
 		delete(r.servers, id)
-	case s.LapsedUntil.IsZero():
+	case !s.Lapsed():
 		s = copyOf(s)
 		s.LapsedUntil = lapsedUntil
 		r.servers[id] = s
@@ -90,7 +93,7 @@
 func (r *Registry) Expire(now time.Time) bool {
 	changed := false
 	for id, s := range r.servers {
-		if !s.LapsedUntil.IsZero() && !now.Before(s.LapsedUntil) {
+		if s.Lapsed() && !now.Before(s.LapsedUntil) {
 			delete(r.servers, id)
 			changed = true
 		}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,9 @@
 	watchWait = 1500 * time.Millisecond
 	// probeWait is the wait while the store is away, so that its return is noticed at once.
 	probeWait  = time.Millisecond
+	// pause is the time between two changes that are told of: servers write often,
+	// and each call has its price.
+	pause      = 300 * time.Millisecond
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 300 * time.Millisecond
 )
@@ -35,7 +38,7 @@
 
 // settleTime is how long after the store's return entries that lapsed
 // meanwhile may be written again.
-const settleTime = 2 * time.Second
+const settleTime = 1600 * time.Millisecond
 
 // Follower follows one prefix.
 type Follower struct {
@@ -45,6 +48,8 @@
 	Log     *logrus.Entry
 
 	revision uint64
+	// changed is set when the last call told of changes.
+	changed bool
 	// away is set while the store does not answer, returned when it did again.
 	away     bool
 	returned time.Time
@@ -52,12 +57,13 @@
 
 // Run follows until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMax
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = retryFirst, retryMax
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if err == nil {
-			pause.Reset()
+			retry.Reset()
+			f.rest(ctx)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -66,11 +72,22 @@
 		f.failed(err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause.NextBackOff()):
+		case <-time.After(retry.NextBackOff()):
 		}
 	}
 }
 
+// rest waits before the next call after one that told of changes.
+func (f *Follower) rest(ctx context.Context) {
+	if !f.changed {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	if f.revision == 0 {
@@ -91,7 +108,8 @@
 	now := time.Now()
 	f.succeeded(now)
 	f.revision = revision
-	if len(items) > 0 {
+	f.changed = len(items) > 0
+	if f.changed {
 		f.Handler.Change(items, now, f.lapsedUntil(now))
 	}
 	return nil
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -41,7 +41,8 @@
 }
 
 // choose returns the cheapest usable server, and false when there is none.
-// Suspected servers are used only when there is no other. Requests that share
+// Suspected servers, and those whose entries lapsed, are used only when there is
+// no other. Requests that share
 // the beginning of a prompt are drawn to one server, its home, by rendezvous hashing.
 func choose(p *placement) (candidate, bool) {
 	if best, ok := p.cheapest(false); ok {
@@ -70,7 +71,7 @@
 }
 
 func (p *placement) usable(s *fleet.Server, suspects bool) bool {
-	if !s.Usable() || p.suspected(s.ID) != suspects {
+	if !s.Usable() || (p.suspected(s.ID) || s.Lapsed()) != suspects {
 		return false
 	}
 	for _, id := range p.exclude {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -330,3 +330,25 @@
 		}
 	}
 }
+
+// A server whose entry lapsed while the store was away is a last resort: it may
+// have left.
+func TestLapsedServersAreALastResort(t *testing.T) {
+	f := newFixture(2, func(int, context.Context, *Attempt) (*Answer, error) { return ok("fine"), nil })
+	servers := f.Picture().Servers["p"]
+	servers[0].LapsedUntil = time.Now().Add(time.Minute)
+	for range 20 {
+		if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, a := range f.backend.attempts {
+		if a.Server.ID == "s0" {
+			t.Fatal("a lapsed server was sent a request although another was there")
+		}
+	}
+	servers[1].Lifecycle = machine.Leaving
+	if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+		t.Errorf("error %v with a lapsed server left", err)
+	}
+}
