--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -37,7 +37,9 @@
 }
 
 // New returns an empty Meter.
-func New() *Meter { return &Meter{pools: make(map[string]*series), others: make(map[string]otherRates)} }
+func New() *Meter {
+	return &Meter{pools: make(map[string]*series), others: make(map[string]otherRates)}
+}
 
 func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slot) }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -18,7 +18,7 @@
 	// connection that went silent is only noticed at its end.
 	watchWait = 1500 * time.Millisecond
 	// probeWait is the wait while the store is away, so that its return is noticed at once.
-	probeWait  = time.Millisecond
+	probeWait = time.Millisecond
 	// pause is the time between two changes that are told of: servers write often,
 	// and each call has its price.
 	pause      = 300 * time.Millisecond
--- a/internal/forecast/forecast_test.go
+++ b/internal/forecast/forecast_test.go
@@ -98,7 +98,7 @@
 	before := b.Rate("p")
 	for i := range 200 {
 		job := b.Begin("p", "s", prompt(8000, uint64(i)), 0, start)
-		job.FirstToken(start.Add(100*time.Millisecond))
+		job.FirstToken(start.Add(100 * time.Millisecond))
 	}
 	if after := b.Rate("p"); after != before {
 		t.Errorf("the rate went from %.0f to %.0f tokens/s", before, after)
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -89,7 +89,7 @@
 		zone: s.Zone, pool: picture.Config.Pools[r.pool], servers: picture.Servers[r.pool],
 		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(),
 		suspected: func(id machine.ID) bool { return s.suspected(id, now) },
-		predict:   func(id machine.ID, assumed int) forecast.Estimate {
+		predict: func(id machine.ID, assumed int) forecast.Estimate {
 			return s.Board.Predict(r.pool, id, r.req.Prompt, assumed, now)
 		},
 	}
