--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -23,8 +23,6 @@
 	servers []*simServer
 	now     time.Time
 	dryTill time.Time
-	next    int
-	cost    float64
 }
 
 type simServer struct {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -180,7 +180,7 @@
 	s := r.server
 	r.tries++
 	r.current = c.server.ID
-	ctx, cancel := r.attemptContext()
+	ctx, heard, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer job.Done()
@@ -198,16 +198,28 @@
 	}
 	r.noteRunning()
 	if r.req.Route.Stream && answer.Status == http.StatusOK {
-		return r.relayStream(answer, job, c.server)
+		return r.relayStream(answer, job, c.server, heard)
 	}
+	heard()
 	job.FirstToken(time.Now())
 	return r.relayPlain(answer, c.server)
 }
 
-// attemptContext bounds the wait for the head of the answer of requests that
-// may be repeated elsewhere.
-func (r *run) attemptContext() (context.Context, context.CancelFunc) {
-	return context.WithCancel(r.ctx)
+// errSilent ends an attempt whose server did not begin to answer.
+var errSilent = errors.New("the server did not begin to answer in time")
+
+// attemptContext bounds the wait for the first byte of a request that may be
+// repeated elsewhere, since a server may have gone silent. heard ends the bound.
+func (r *run) attemptContext() (ctx context.Context, heard func(), cancel context.CancelFunc) {
+	ctx, stop := context.WithCancelCause(r.ctx)
+	cancel = func() { stop(nil) }
+	end := r.req.End()
+	if !r.req.Route.MayRepeat() || r.attempts+1 >= r.req.Route.MaxAttempts || end.IsZero() {
+		return ctx, func() {}, cancel
+	}
+	patience := time.Duration(attemptShare * float64(time.Until(end)))
+	timer := time.AfterFunc(patience, func() { stop(errSilent) })
+	return ctx, func() { timer.Stop() }, cancel
 }
 
 // unanswered records an attempt without an answer.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -331,6 +331,26 @@
 	}
 }
 
+// A server that goes silent does not keep a request that may run elsewhere.
+func TestSilentServerIsLeftForAnother(t *testing.T) {
+	for _, route := range []fleet.Route{repeats, resumable} {
+		f := newFixture(3, func(n int, ctx context.Context, _ *Attempt) (*Answer, error) {
+			if n == 0 {
+				<-ctx.Done()
+				return nil, verdictError(contract.MayHaveRun)
+			}
+			return ok(events(1)), nil
+		})
+		req := request(route)
+		if err := f.Serve(t.Context(), req, &fakeCaller{}); err != nil {
+			t.Errorf("%s: error %v, want the answer of another server", route.Name, err)
+		}
+		if took := time.Since(req.Arrived); took > 1500*time.Millisecond {
+			t.Errorf("%s: answered after %v of 2 s", route.Name, took)
+		}
+	}
+}
+
 // A server whose entry lapsed while the store was away is a last resort: it may
 // have left.
 func TestLapsedServersAreALastResort(t *testing.T) {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -87,7 +87,7 @@
 
 // relayStream passes events on as they arrive. After a failure a resumable
 // stream goes on at another server.
-func (r *run) relayStream(a *Answer, job *forecast.Job, server *fleet.Server) (done bool, err error) {
+func (r *run) relayStream(a *Answer, job *forecast.Job, server *fleet.Server, heard func()) (done bool, err error) {
 	if !a.Authentic {
 		r.mayHaveRun = true
 		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the answer does not bear the server's mark"}
@@ -97,6 +97,7 @@
 	for {
 		part, err := events.next()
 		if len(part) > 0 {
+			heard()
 			job.FirstToken(time.Now())
 			if err := r.passOn(a, part); err != nil {
 				return true, err
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -61,7 +61,6 @@
 	conn    *conn
 	stop    func() bool
 	written chan error
-	sent    bool
 	// reusable is false when the answer came before the request was written, or
 	// when the server closes the connection.
 	reusable bool
