--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -22,6 +22,9 @@
 	Occupancy float64
 	// ShrinkAfter is how long a lower need has to last before servers are given back.
 	ShrinkAfter time.Duration
+	// GrowthPause is how long no further server has to register before servers are
+	// ordered without knowing the load.
+	GrowthPause time.Duration
 	// RefusedFor is how long reclaimable servers of a zone are not asked for
 	// after an order was refused.
 	RefusedFor time.Duration
@@ -32,7 +35,8 @@
 
 // DefaultSettings suit pools that boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.75, Occupancy: 0.7, ShrinkAfter: 8 * time.Second, RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
+	Utilization: 0.75, Occupancy: 0.7, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
+	RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
 }
 
 // Load is what a pool is asked for.
@@ -86,7 +90,8 @@
 	// needs are past needs, for a slow decrease.
 	needs []pastNeed
 	// first is the largest number of servers seen before the load was known.
-	first int
+	first   int
+	firstAt time.Time
 }
 
 type pastNeed struct {
@@ -127,6 +132,9 @@
 // on their way.
 func (s *Scaler) Plan(in Input) []Order {
 	have := count(in.Servers)
+	if !in.Load.Known && s.growing(in, &have) {
+		return nil
+	}
 	need := s.need(in, &have)
 	wished := s.cheapest(in, need, func(key lotKey) int { return s.available(in, &have, key) })
 	sure := s.cheapest(in, need, func(key lotKey) int {
@@ -142,6 +150,19 @@
 	return s.orders(in, &have, target)
 }
 
+// growing reports whether servers may still be coming up that were there at
+// first: they register one by one.
+func (s *Scaler) growing(in Input, have *census) bool {
+	total := 0
+	for _, n := range have.present {
+		total += n
+	}
+	if total > s.first {
+		s.first, s.firstAt = total, in.Now
+	}
+	return in.Now.Sub(s.firstAt) < s.settings.GrowthPause
+}
+
 // available is the number of reclaimable servers that a zone may have.
 func (s *Scaler) available(in Input, have *census, key lotKey) int {
 	if s.refused(in, key) {
@@ -169,11 +190,6 @@
 	}
 	if !l.Known {
 		// Without traffic to judge by, what was there at first stays.
-		total := 0
-		for _, n := range have.present {
-			total += n
-		}
-		s.first = max(s.first, total)
 		need = max(need, float64(s.first)*unknownShare)
 	}
 	s.needs = append(s.needs, pastNeed{in.Now, need})
@@ -186,7 +202,7 @@
 
 // unknownShare is the part of the servers found at the start that is kept
 // until the load is known.
-const unknownShare = 0.7
+const unknownShare = 0.55
 
 // cheapest is the cheapest mix that carries the need, with at most limit
 // reclaimable servers in a zone, also without any one zone's reclaimable servers.
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -115,7 +115,7 @@
 }
 
 // knownAfter is how long traffic has to be seen before it can be judged.
-const knownAfter = 5 * time.Second
+const knownAfter = 4 * time.Second
 
 // Known reports whether this instance has seen a pool's traffic for long enough.
 func (m *Meter) Known(pool string, now time.Time) bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 	// another was last heard to, in Unix nanoseconds.
 	holding     atomic.Bool
 	holderHeard atomic.Int64
+	holder      atomic.Pointer[string]
 	mu          sync.Mutex
 	instances   int
 }
@@ -143,7 +144,7 @@
 	})
 	i.front = o.Front(i.core, i.keeper.Load)
 	i.exchange = peers.New(peers.Options{
-		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Collect: i.state, Apply: i.apply, Log: o.Log,
+		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Collect: i.state, Full: i.toHolder, Apply: i.apply, Log: o.Log,
 	})
 	return i
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -24,10 +24,12 @@
 	return &pb.Instance{Name: i.Settings.Name, Incarnation: i.incarnation, Zone: i.Settings.Zone, Address: i.Settings.PeersAddress}
 }
 
-// state is the message to the other instances.
-func (i *Instance) state() *pb.InstanceState {
+// state is the message to the other instances. What the duties are done by is
+// sent to their holder, and to all now and then, so that a new holder knows it.
+func (i *Instance) state(holder bool) *pb.InstanceState {
+	sequence := i.sequence.Add(1)
 	m := &pb.InstanceState{
-		From: i.self(), Sequence: i.sequence.Add(1), UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
+		From: i.self(), Sequence: sequence, UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
 		HoldsDuties: i.holding.Load(),
 	}
 	if p := i.keeper.Load(); p != nil {
@@ -41,6 +43,9 @@
 	for name, total := range i.ledger.Used() {
 		m.Used = append(m.Used, &pb.WorkspaceTokens{Workspace: name, Total: total})
 	}
+	if !holder {
+		return m
+	}
 	for w, counts := range i.counter.Own() {
 		m.Windows = append(m.Windows, &pb.UsageWindow{Window: int64(w), Counts: counts})
 	}
@@ -54,6 +59,11 @@
 func (i *Instance) apply(m *pb.InstanceState, now time.Time) {
 	name := m.GetFrom().GetName()
 	incarnation := name + "/" + time.UnixMilli(int64(m.GetFrom().GetIncarnation())).UTC().Format(time.RFC3339Nano)
+	if m.GetHoldsDuties() {
+		i.holderHeard.Store(now.UnixNano())
+		i.holder.Store(&name)
+	}
+	i.clock.Heard(name, time.UnixMilli(m.GetUnixMs()), now)
 	work := make(map[machine.ID]forecast.Work, len(m.GetWork()))
 	for _, w := range m.GetWork() {
 		work[machine.ID(w.GetServer())] = forecast.Work{
@@ -66,6 +76,9 @@
 		used[u.GetWorkspace()] = u.GetTotal()
 	}
 	i.ledger.Heard(incarnation, used, now)
+	if len(m.GetDemands()) == 0 && len(m.GetWindows()) == 0 {
+		return
+	}
 	windows := make(map[usage.Window]usage.Counts, len(m.GetWindows()))
 	for _, w := range m.GetWindows() {
 		windows[usage.Window(w.GetWindow())] = w.GetCounts()
@@ -76,16 +89,19 @@
 		rates[d.GetPool()] = d.GetTokensPerSecond()
 	}
 	i.demand.Heard(name, rates, now)
-	if m.GetHoldsDuties() {
-		i.holderHeard.Store(now.UnixNano())
-	}
-	i.clock.Heard(name, time.UnixMilli(m.GetUnixMs()), now)
 }
 
 // holderSilence is the silence of the holder of the duties after which this
 // instance tries to take them.
 const holderSilence = 1200 * time.Millisecond
 
+// toHolder reports whether an instance gets what the duties are done by: their
+// holder, and all while none is heard.
+func (i *Instance) toHolder(name string) bool {
+	holder := i.holder.Load()
+	return holder == nil || *holder == name || i.mayTakeDuties()
+}
+
 // mayTakeDuties reports whether no other instance is heard to hold the duties.
 func (i *Instance) mayTakeDuties() bool {
 	return time.Since(time.Unix(0, i.holderHeard.Load())) > holderSilence
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -21,7 +21,9 @@
 	// minInterval is the time between messages to the same instance while there
 	// are few; it grows with their number, so that an instance's traffic is bounded.
 	minInterval     = 150 * time.Millisecond
-	intervalPerPeer = 8 * time.Millisecond
+	intervalPerPeer = 12 * time.Millisecond
+	// fullEvery is the number of rounds of which one sends all instances the full message.
+	fullEvery = 8
 	// aliveFor is the silence after which an instance counts as unheard.
 	aliveFor = 2 * time.Second
 	// rememberFor is how long an instance that is in no list of members is sent to.
@@ -40,8 +42,10 @@
 	// Listen is the address of the datagrams.
 	Listen string
 	Name   string
-	// Collect returns the message to send.
-	Collect func() *pb.InstanceState
+	// Collect returns the message to send, full or without what only few need.
+	Collect func(full bool) *pb.InstanceState
+	// Full reports whether an instance gets the full message.
+	Full func(name string) bool
 	// Apply takes a message of another instance.
 	Apply func(state *pb.InstanceState, now time.Time)
 	Log   *logrus.Entry
@@ -135,7 +139,7 @@
 }
 
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) {
-	for {
+	for round := 0; ; round++ {
 		targets := e.targets(time.Now())
 		interval := max(minInterval, time.Duration(len(targets))*intervalPerPeer)
 		select {
@@ -143,25 +147,41 @@
 			return
 		case <-time.After(interval):
 		}
-		data, err := proto.Marshal(e.options.Collect())
-		if err != nil {
-			e.options.Log.WithError(err).Error("state of this instance cannot be encoded")
-			continue
-		}
-		for _, address := range targets {
-			// A datagram that cannot be sent is like one that is lost.
-			if _, err := conn.WriteToUDP(data, address); err == nil {
-				sentTotal.Inc()
+		e.sendTo(conn, targets, round%fullEvery == 0)
+	}
+}
+
+// sendTo sends the state to all targets; it is encoded at most twice.
+func (e *Exchange) sendTo(conn *net.UDPConn, targets []target, everyone bool) {
+	encoded := make(map[bool][]byte, 2)
+	for _, t := range targets {
+		full := everyone || e.options.Full(t.name)
+		if encoded[full] == nil {
+			data, err := proto.Marshal(e.options.Collect(full))
+			if err != nil {
+				e.options.Log.WithError(err).Error("state of this instance cannot be encoded")
+				return
 			}
+			encoded[full] = data
+		}
+		// A datagram that cannot be sent is like one that is lost.
+		if _, err := conn.WriteToUDP(encoded[full], t.address); err == nil {
+			sentTotal.Inc()
 		}
 	}
 }
 
+// target is an instance that is sent to.
+type target struct {
+	name    string
+	address *net.UDPAddr
+}
+
 // targets returns the addresses to send to, and notes instances that fell silent.
-func (e *Exchange) targets(now time.Time) []*net.UDPAddr {
+func (e *Exchange) targets(now time.Time) []target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	list := make([]*net.UDPAddr, 0, len(e.peers))
+	list := make([]target, 0, len(e.peers))
 	for name, p := range e.peers {
 		if !p.member && now.Sub(p.heard) > rememberFor {
 			delete(e.peers, name)
@@ -171,7 +191,7 @@
 			p.silent = true
 			e.options.Log.WithFields(logrus.Fields{"event": "peer_lost", "peer": name, "member": p.member}).Info("instance is not heard")
 		}
-		list = append(list, p.address)
+		list = append(list, target{name: name, address: p.address})
 	}
 	return list
 }
