autoscale: no servers on demand for reclaimable ones that were just ordered; forecast: the upper quartile of speeds

Each rise of the need ordered servers on demand for 250 ms, which booted and were given back; the learned rate of engines fell to 52,000 tokens/s under load (82,000 in truth).

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -128,8 +128,8 @@
 }
 
 // Plan returns the orders to send now. Reclaimable servers are ordered as if all
-// could be had; servers on demand make up for those that are neither there nor
-// on their way.
+// could be had but for those that were refused; servers on demand make up for the
+// ones that were refused, and for those that are overdue.
 func (s *Scaler) Plan(in Input) []Order {
 	have := count(in.Servers)
 	if !in.Load.Known && s.growing(in, &have) {
@@ -138,7 +138,10 @@
 	need := s.need(in, &have)
 	wished := s.cheapest(in, need, func(key lotKey) int { return s.available(in, &have, key) })
 	sure := s.cheapest(in, need, func(key lotKey) int {
-		return min(wished[key], max(have.present[key], s.coming(in, key)))
+		if s.overdue(in, key, have.present[key]) {
+			return min(wished[key], have.present[key])
+		}
+		return wished[key]
 	})
 	target := make(map[lotKey]int)
 	for zone := range in.Pool.Scaling.ZonePrices {
@@ -283,6 +286,14 @@
 	return l.ordered
 }
 
+// overdue reports whether reclaimable servers of an accepted order should be
+// there by now and are not.
+func (s *Scaler) overdue(in Input, key lotKey, present int) bool {
+	l := s.lots[key]
+	return l != nil && l.accepted && present < l.ordered &&
+		in.Now.Sub(l.orderedAt) > in.Pool.Scaling.BootTime+s.settings.RepeatAfter
+}
+
 // orders compares the target with what was ordered and what is there.
 func (s *Scaler) orders(in Input, have *census, target map[lotKey]int) []Order {
 	var orders []Order
--- a/internal/forecast/rate.go
+++ b/internal/forecast/rate.go
@@ -7,8 +7,11 @@
 	initialRate = 80_000
 	// initialBase is the least time to a first token assumed at first.
 	initialBase = 50 * time.Millisecond
-	// speedStep is the relative change of a learned value by one observation.
-	speedStep = 0.02
+	// fasterStep and slowerStep are the relative changes of a learned value by one
+	// observation. Their ratio makes it the upper quartile of the speeds: answers
+	// are slow for many reasons that are not known here, and fast for none.
+	fasterStep = 0.03
+	slowerStep = 0.01
 	// minRate and maxRate bound the learned rate, in tokens a second, and minBase
 	// and maxBase the learned least time.
 	minRate = 10_000
@@ -25,7 +28,7 @@
 )
 
 // speed is what is learned of the engines of a pool: the time to a first token
-// is base, plus the tokens to read over the rate. Both are medians of the
+// is base, plus the tokens to read over the rate. Both are quantiles of the
 // observations, found by stochastic approximation (Robbins and Monro, 1951), so
 // that single wrong ones hardly move them.
 type speed struct {
@@ -49,12 +52,12 @@
 	faster := took < s.firstToken(ahead+own)
 	switch {
 	case own >= longTokens && faster:
-		s.perSecond = min(s.perSecond*(1+speedStep), maxRate)
+		s.perSecond = min(s.perSecond*(1+fasterStep), maxRate)
 	case own >= longTokens:
-		s.perSecond = max(s.perSecond/(1+speedStep), minRate)
+		s.perSecond = max(s.perSecond/(1+slowerStep), minRate)
 	case own <= shortTokens && faster:
-		s.base = max(time.Duration(float64(s.base)/(1+speedStep)), minBase)
+		s.base = max(time.Duration(float64(s.base)/(1+fasterStep)), minBase)
 	case own <= shortTokens:
-		s.base = min(time.Duration(float64(s.base)*(1+speedStep)), maxBase)
+		s.base = min(time.Duration(float64(s.base)*(1+slowerStep)), maxBase)
 	}
 }
