--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -18,8 +18,10 @@
 type Settings struct {
 	// Utilization is the part of a server's prompt rate that is planned with.
 	Utilization float64
-	// Occupancy is the part of a server's slots that is planned with.
-	Occupancy float64
+	// SlotReserve is the reserve of slots by the square-root staffing rule (Halfin
+	// and Whitt, 1981): of n slots, SlotReserve*sqrt(n) are kept free, so that
+	// servers with few slots are filled less.
+	SlotReserve float64
 	// ShrinkAfter is how long a lower need has to last before servers are given back.
 	ShrinkAfter time.Duration
 	// GrowthPause is how long no further server has to register before servers are
@@ -35,7 +37,7 @@
 
 // DefaultSettings suit pools that boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.75, Occupancy: 0.7, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
+	Utilization: 0.75, SlotReserve: 1.6, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
 	RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
 }
 
@@ -189,7 +191,8 @@
 		need = l.TokensPerSecond / (l.ServerRate * s.settings.Utilization)
 	}
 	if l.Slots > 0 {
-		need = max(need, float64(l.Running)/(float64(l.Slots)*s.settings.Occupancy))
+		slots := float64(l.Slots)
+		need = max(need, float64(l.Running)/max(slots-s.settings.SlotReserve*math.Sqrt(slots), 1))
 	}
 	if !l.Known {
 		// Without traffic to judge by, what was there at first stays.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,9 +188,7 @@
 		return telemetry.Serve(ctx, i.Settings.MetricsAddress, nil, nil)
 	})
 	start(i.exchange.Run)
-	for _, f := range i.followers() {
-		start(func(ctx context.Context) error { f.Run(ctx); return nil })
-	}
+	start(func(ctx context.Context) error { i.follower().Run(ctx); return nil })
 	start(func(context.Context) error { i.register(ctx, background); return nil })
 	start(func(ctx context.Context) error { i.maintain(ctx); return nil })
 	if i.Duty != nil {
@@ -213,15 +211,32 @@
 	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
 }
 
-func (i *Instance) followers() []*follow.Follower {
-	s, log := i.Store, i.Log
-	return []*follow.Follower{
-		{Store: s, Prefix: i.ConfigKey, Log: log, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: log}},
-		{Store: s, Prefix: i.ServersPrefix, Log: log, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: log}},
-		{Store: s, Prefix: membersPrefix, Log: log, Handler: &memberHandler{prefix: membersPrefix, changed: i.setMembers, log: log}},
+func (i *Instance) follower() *follow.Follower {
+	return &follow.Follower{
+		Store: i.Store, Log: i.Log, Pause: i.watchPause,
+		Parts: []follow.Part{
+			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: i.Log}},
+			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: i.Log}},
+			{Prefix: membersPrefix, Handler: &memberHandler{prefix: membersPrefix, changed: i.setMembers, log: i.Log}},
+		},
 	}
 }
 
+const (
+	// watchPauseBase and watchPausePerInstance are the time between two reads of
+	// changes: all instances together make a bounded number of calls. The limit
+	// leaves time to act on a change within the platform's two seconds.
+	watchPauseBase        = 250 * time.Millisecond
+	watchPausePerInstance = 16 * time.Millisecond
+	maxWatchPause         = 1300 * time.Millisecond
+)
+
+func (i *Instance) watchPause() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return min(watchPauseBase+time.Duration(i.instances)*watchPausePerInstance, maxWatchPause)
+}
+
 // Ready reports whether the instance takes new connections.
 func (i *Instance) Ready() bool {
 	p := i.keeper.Load()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,9 +21,6 @@
 	watchWait = 1500 * time.Millisecond
 	// probeWait is the wait while the store is away, so that its return is noticed at once.
 	probeWait = time.Millisecond
-	// pause is the time between two changes that are told of: servers write often,
-	// and each call has its price.
-	pause      = 300 * time.Millisecond
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 300 * time.Millisecond
 )
@@ -40,12 +39,20 @@
 // meanwhile may be written again.
 const settleTime = 1600 * time.Millisecond
 
-// Follower follows one prefix.
-type Follower struct {
-	Store   store.Reader
+// Part is a prefix with its handler.
+type Part struct {
 	Prefix  string
 	Handler Handler
-	Log     *logrus.Entry
+}
+
+// Follower follows several parts of the store with one watch, since each call
+// has its price.
+type Follower struct {
+	Store store.Reader
+	Parts []Part
+	// Pause is the time between two calls that tell of changes.
+	Pause func() time.Duration
+	Log   *logrus.Entry
 
 	revision uint64
 	// changed is set when the last call told of changes.
@@ -84,7 +91,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(pause):
+	case <-time.After(f.Pause()):
 	}
 }
 
@@ -97,9 +104,9 @@
 	if f.away {
 		wait = probeWait
 	}
-	items, revision, err := f.Store.Watch(ctx, f.Prefix, f.revision, wait)
+	items, revision, err := f.Store.Watch(ctx, everything, f.revision, wait)
 	if errors.Is(err, store.ErrHistoryGone) {
-		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "prefix": f.Prefix, "revision": f.revision}).Info("changes were missed; reading the list anew")
+		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "revision": f.revision}).Info("changes were missed; reading the list anew")
 		return f.resync(ctx)
 	}
 	if err != nil {
@@ -110,20 +117,48 @@
 	f.revision = revision
 	f.changed = len(items) > 0
 	if f.changed {
-		f.Handler.Change(items, now, f.lapsedUntil(now))
+		f.dispatch(items, now)
 	}
 	return nil
 }
 
+// everything is the prefix of all keys.
+const everything = ""
+
+// dispatch hands changes to the parts that they belong to.
+func (f *Follower) dispatch(items []store.Item, now time.Time) {
+	for _, p := range f.Parts {
+		var own []store.Item
+		for _, item := range items {
+			if strings.HasPrefix(item.Key, p.Prefix) {
+				own = append(own, item)
+			}
+		}
+		if len(own) > 0 {
+			p.Handler.Change(own, now, f.lapsedUntil(now))
+		}
+	}
+}
+
+// resync reads all parts anew. The watch goes on from the oldest revision read,
+// so that it may repeat changes but misses none.
 func (f *Follower) resync(ctx context.Context) error {
-	items, revision, err := f.Store.List(ctx, f.Prefix)
-	if err != nil {
-		return err
+	lists := make([][]store.Item, len(f.Parts))
+	oldest := uint64(math.MaxUint64)
+	for i, p := range f.Parts {
+		items, revision, err := f.Store.List(ctx, p.Prefix)
+		if err != nil {
+			return err
+		}
+		lists[i] = items
+		oldest = min(oldest, revision)
 	}
 	now := time.Now()
 	f.succeeded(now)
-	f.revision = revision
-	f.Handler.Resync(items, now, f.lapsedUntil(now))
+	f.revision = oldest
+	for i, p := range f.Parts {
+		p.Handler.Resync(lists[i], now, f.lapsedUntil(now))
+	}
 	return nil
 }
 
@@ -140,7 +175,7 @@
 		return
 	}
 	f.away = true
-	f.Log.WithFields(logrus.Fields{"event": "store_lost", "prefix": f.Prefix, "revision": f.revision}).WithError(err).Warn("the store does not answer; going on with what is known")
+	f.Log.WithFields(logrus.Fields{"event": "store_lost", "revision": f.revision}).WithError(err).Warn("the store does not answer; going on with what is known")
 }
 
 func (f *Follower) succeeded(now time.Time) {
@@ -149,5 +184,5 @@
 	}
 	f.away = false
 	f.returned = now
-	f.Log.WithFields(logrus.Fields{"event": "store_regained", "prefix": f.Prefix}).Info("the store answers again")
+	f.Log.WithFields(logrus.Fields{"event": "store_regained"}).Info("the store answers again")
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -100,7 +100,7 @@
 		log.SetOutput(io.Discard)
 		ctx, cancel := context.WithTimeout(t.Context(), length)
 		defer cancel()
-		(&Follower{Store: reader, Prefix: "p/", Handler: r, Log: logrus.NewEntry(log)}).Run(ctx)
+		(&Follower{Store: reader, Parts: []Part{{Prefix: "a", Handler: r}}, Pause: func() time.Duration { return 100 * time.Millisecond }, Log: logrus.NewEntry(log)}).Run(ctx)
 	})
 	return r
 }
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -79,6 +79,10 @@
 	own    Work
 	others map[string]otherWork
 	cache  partCache
+	// reported is the number of requests that the server itself told of last,
+	// those of other instances alone, at reportedAt.
+	reported   int
+	reportedAt time.Time
 }
 
 type otherWork struct {
@@ -138,9 +142,24 @@
 		}
 		w.add(o.Work)
 	}
+	// A server's own word tells of those that are not heard.
+	if now.Sub(e.reportedAt) < freshReport {
+		w.Active = max(w.Active, e.own.Active+e.reported)
+	}
 	return w
 }
 
+// freshReport is the age up to which a server's own report counts.
+const freshReport = 300 * time.Millisecond
+
+// Report records the number of requests that a server told of in an answer.
+func (b *Board) Report(id machine.ID, active int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.engine(id)
+	e.reported, e.reportedAt = max(active-e.own.Active, 0), now
+}
+
 // Job is a request at a server.
 type Job struct {
 	board    *Board
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -193,6 +193,9 @@
 	r.attempts++
 	s.trust(c.server.ID)
 	defer answer.Body.Close()
+	if answer.Load != nil {
+		s.Board.Report(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
+	}
 	if answer.Misdirected || answer.Refused {
 		return false, r.refused(c.server, answer)
 	}
