--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -18,6 +18,8 @@
 type Settings struct {
 	// Utilization is the part of a server's prompt rate that is planned with.
 	Utilization float64
+	// Occupancy is the part of a server's slots that is planned with at most.
+	Occupancy float64
 	// SlotReserve is the reserve of slots by the square-root staffing rule (Halfin
 	// and Whitt, 1981): of n slots, SlotReserve*sqrt(n) are kept free, so that
 	// servers with few slots are filled less.
@@ -37,7 +39,7 @@
 
 // DefaultSettings suit pools that boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.75, SlotReserve: 1.6, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
+	Utilization: 0.75, Occupancy: 0.65, SlotReserve: 1.6, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
 	RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
 }
 
@@ -94,6 +96,8 @@
 	// first is the largest number of servers seen before the load was known.
 	first   int
 	firstAt time.Time
+	// noted are the servers whose reclaim was taken notice of.
+	noted map[machine.ID]bool
 }
 
 type pastNeed struct {
@@ -102,7 +106,9 @@
 }
 
 // New returns a Scaler.
-func New(s Settings) *Scaler { return &Scaler{settings: s, lots: make(map[lotKey]*lot)} }
+func New(s Settings) *Scaler {
+	return &Scaler{settings: s, lots: make(map[lotKey]*lot), noted: make(map[machine.ID]bool)}
+}
 
 func (s *Scaler) lot(key lotKey) *lot {
 	l := s.lots[key]
@@ -137,6 +143,7 @@
 	if !in.Load.Known && s.growing(in, &have) {
 		return nil
 	}
+	s.noteReclaims(in)
 	need := s.need(in, &have)
 	wished := s.cheapest(in, need, func(key lotKey) int { return s.available(in, &have, key) })
 	sure := s.cheapest(in, need, func(key lotKey) int {
@@ -155,6 +162,21 @@
 	return s.orders(in, &have, target)
 }
 
+// noteReclaims takes the notice that a zone's reclaimable servers are taken back
+// as a refusal: no others are to be had there for now.
+func (s *Scaler) noteReclaims(in Input) {
+	for _, server := range in.Servers {
+		if !server.Reclaimable || server.Lifecycle != machine.Leaving || server.LeavesIn <= 0 {
+			continue
+		}
+		l := s.lot(lotKey{server.Zone, true})
+		if !s.noted[server.ID] {
+			s.noted[server.ID] = true
+			l.refusedAt = in.Now
+		}
+	}
+}
+
 // growing reports whether servers may still be coming up that were there at
 // first: they register one by one.
 func (s *Scaler) growing(in Input, have *census) bool {
@@ -192,7 +214,7 @@
 	}
 	if l.Slots > 0 {
 		slots := float64(l.Slots)
-		need = max(need, float64(l.Running)/max(slots-s.settings.SlotReserve*math.Sqrt(slots), 1))
+		need = max(need, float64(l.Running)/max(min(s.settings.Occupancy*slots, slots-s.settings.SlotReserve*math.Sqrt(slots)), 1))
 	}
 	if !l.Known {
 		// Without traffic to judge by, what was there at first stays.
@@ -311,13 +333,14 @@
 			}
 		}
 	}
-	slices.SortFunc(orders, compareOrders)
+	// Servers are added before others are given back; a refused order is planned
+	// around before any are.
+	slices.SortStableFunc(orders, func(a, b Order) int {
+		return (b.Servers - have.present[lotKey{b.Zone, b.Reclaimable}]) - (a.Servers - have.present[lotKey{a.Zone, a.Reclaimable}])
+	})
 	return orders
 }
 
-// compareOrders puts orders that add servers first.
-func compareOrders(a, b Order) int { return b.Servers - a.Servers }
-
 // wanted reports whether an order has to be sent.
 func (s *Scaler) wanted(in Input, key lotKey, present, target int) bool {
 	l := s.lot(key)
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -30,6 +30,7 @@
 	reclaimable bool
 	readyAt     time.Time
 	goneAt      time.Time
+	reclaimed   bool
 }
 
 func (c *cloud) apply(o Order) Outcome {
@@ -55,7 +56,7 @@
 func (c *cloud) reclaim(zone string, dry time.Duration) {
 	for _, s := range c.servers {
 		if s.zone == zone && s.reclaimable && s.goneAt.IsZero() {
-			s.goneAt = c.now.Add(2500 * time.Millisecond)
+			s.goneAt, s.reclaimed = c.now.Add(2500*time.Millisecond), true
 		}
 	}
 	c.dryTill = c.now.Add(dry)
@@ -68,13 +69,16 @@
 			continue
 		}
 		capacity++
-		state := machine.Serving
+		state, leaves := machine.Serving, time.Duration(0)
 		if !s.goneAt.IsZero() {
 			state = machine.Leaving
+			if s.reclaimed {
+				leaves = s.goneAt.Sub(c.now)
+			}
 		}
 		reported = append(reported, &fleet.Server{
 			Server:    machine.Server{ID: machine.ID(fmt.Sprint(i)), Pool: "p", Zone: s.zone, Reclaimable: s.reclaimable},
-			Lifecycle: state, Slots: 64,
+			Lifecycle: state, Slots: 64, LeavesIn: leaves,
 		})
 	}
 	return reported, capacity
@@ -119,13 +123,16 @@
 			knownSince = max(at, step)
 		}
 		in := Input{Pool: pool(), Servers: reported, Now: c.now, Load: Load{TokensPerSecond: tokens, ServerRate: rate, Slots: 64, Known: knownSince > 0 && at-knownSince > 5*time.Second}}
-		for range 4 {
+		for range maxRounds {
 			refused := false
 			for _, o := range scaler.Plan(in) {
 				outcome := c.apply(o)
 				scaler.Sent(o, outcome, c.now)
-				refused = refused || outcome == Unavailable
 				r.orders++
+				if outcome == Unavailable {
+					refused = true
+					break
+				}
 			}
 			if !refused {
 				break
--- a/internal/autoscale/run.go
+++ b/internal/autoscale/run.go
@@ -37,7 +37,7 @@
 const (
 	planInterval = 250 * time.Millisecond
 	// maxRounds bounds the plans made at once after refusals.
-	maxRounds = 4
+	maxRounds = 6
 )
 
 // Run orders until ctx is done. check fails once the duty may be another's.
@@ -74,27 +74,34 @@
 		r.scalers[pool.Name] = scaler
 	}
 	for range maxRounds {
-		now := time.Now()
-		in := Input{Pool: pool, Servers: r.Picture().Servers[pool.Name], Load: r.load(pool, now), Now: now}
-		refused := false
-		for _, o := range scaler.Plan(in) {
-			if err := check(); err != nil {
-				return err
-			}
-			outcome, err := r.send(ctx, fence, o, &in)
-			if err != nil {
-				return err
-			}
-			scaler.Sent(o, outcome, time.Now())
-			refused = refused || outcome == Unavailable
-		}
-		if !refused {
-			return nil
+		refused, err := r.sendPlan(ctx, pool, scaler, fence, check)
+		if err != nil || !refused {
+			return err
 		}
 	}
 	return nil
 }
 
+// sendPlan sends the orders of one plan up to the first that is refused.
+func (r *Runner) sendPlan(ctx context.Context, pool *fleet.Pool, scaler *Scaler, fence uint64, check func() error) (refused bool, err error) {
+	now := time.Now()
+	in := Input{Pool: pool, Servers: r.Picture().Servers[pool.Name], Load: r.load(pool, now), Now: now}
+	for _, o := range scaler.Plan(in) {
+		if err := check(); err != nil {
+			return false, err
+		}
+		outcome, err := r.send(ctx, fence, o, &in)
+		if err != nil {
+			return false, err
+		}
+		scaler.Sent(o, outcome, time.Now())
+		if outcome == Unavailable {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 func (r *Runner) send(ctx context.Context, fence uint64, o Order, in *Input) (Outcome, error) {
 	err := r.Destination.OrderServers(ctx, fence, o)
 	fields := logrus.Fields{
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,7 +20,7 @@
 	// connection that went silent is only noticed at its end.
 	watchWait = 1500 * time.Millisecond
 	// probeWait is the wait while the store is away, so that its return is noticed at once.
-	probeWait = time.Millisecond
+	probeWait  = time.Millisecond
 	retryFirst = 50 * time.Millisecond
 	retryMax   = 300 * time.Millisecond
 )
