serve: few servers are compared where instances are many

Each now compares 3 + 60/instances servers drawn at random, and the prompt's home. TestManyInstancesDoNotHerdOnOldReports is red with all compared.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,8 +113,7 @@
 	holding     atomic.Bool
 	holderHeard atomic.Int64
 	holder      atomic.Pointer[string]
-	mu          sync.Mutex
-	instances   int
+	instances   atomic.Int64
 }
 
 const (
@@ -139,7 +137,7 @@
 		incarnation: uint64(now.UnixMilli()),
 	}
 	i.core = serve.New(serve.Options{
-		Zone: o.Settings.Zone, Picture: i.keeper.Load, Backend: o.Backend, Quotas: i.ledger, Usage: usageByClock{i},
+		Zone: o.Settings.Zone, Picture: i.keeper.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: usageByClock{i},
 		Board: i.board, Budget: i.budget, Demand: i.demand, Log: o.Log,
 	})
 	i.front = o.Front(i.core, i.keeper.Load)
@@ -232,11 +230,12 @@
 )
 
 func (i *Instance) watchPause() time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return min(watchPauseBase+time.Duration(i.instances)*watchPausePerInstance, maxWatchPause)
+	return min(watchPauseBase+time.Duration(i.count())*watchPausePerInstance, maxWatchPause)
 }
 
+// count returns the number of instances.
+func (i *Instance) count() int { return int(i.instances.Load()) }
+
 // Ready reports whether the instance takes new connections.
 func (i *Instance) Ready() bool {
 	p := i.keeper.Load()
@@ -290,13 +289,11 @@
 
 // setInstances shares quotas and the retry budget among n instances.
 func (i *Instance) setInstances(n int) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if n == i.instances {
+	before := i.instances.Swap(int64(n))
+	if int64(n) == before {
 		return
 	}
-	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": i.instances, "now": n}).Info("number of instances changed")
-	i.instances = n
+	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": before, "now": n}).Info("number of instances changed")
 	i.ledger.SetInstances(n)
 	i.budget.Set(budgetShare*i.Settings.RetryRatio, budgetShare*i.Settings.RetrySlack/float64(n))
 }
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -129,8 +129,6 @@
 	Config *Config
 	// Servers by pool, those that are leaving included.
 	Servers map[string][]*Server
-	// Instances is the number of entry instances believed alive, this one included.
-	Instances int
 }
 
 // Get returns a server, nil when it is not known.
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,8 +40,23 @@
 	suspected func(machine.ID) bool
 	predict   func(id machine.ID, assumed int) forecast.Estimate
 	seed      uint64
+	// sample is the number of servers that are compared, beside the home.
+	sample int
 }
 
+const (
+	// leastSample and sampleForAll set how many servers are compared: nearly all
+	// where there are few instances, and few where there are many.
+	leastSample  = 3
+	sampleForAll = 60
+)
+
+// sampleSize is the number of servers that a choice compares. What is known of
+// them is old, and the same at all instances: with many instances the
+// best of all would be chosen by all at once, while the best of a few drawn at
+// random is not (Mitzenmacher, "How useful is old information?", 2000).
+func sampleSize(instances int) int { return leastSample + sampleForAll/max(instances, 1) }
+
 // choose returns the cheapest usable server, and false when there is none.
 // Suspected servers, and those whose entries lapsed, are used only when there is
 // no other. Requests that share
@@ -56,10 +73,13 @@
 	found := false
 	home := p.home(suspects)
 	draw := p.seed
+	usable := make([]*fleet.Server, 0, len(p.servers))
 	for _, s := range p.servers {
-		if !p.usable(s, suspects) {
-			continue
+		if p.usable(s, suspects) {
+			usable = append(usable, s)
 		}
+	}
+	for _, s := range p.sampled(usable, home) {
 		c := p.candidate(s, s == home)
 		draw = draw*6364136223846793005 + 1442695040888963407
 		c.cost += time.Duration(draw >> 44) // up to 1 ms, so that equals are spread
@@ -70,6 +90,20 @@
 	return best, found
 }
 
+// sampled draws the servers to compare, and the home.
+func (p *placement) sampled(usable []*fleet.Server, home *fleet.Server) []*fleet.Server {
+	if len(usable) <= p.sample {
+		return usable
+	}
+	random := rand.New(rand.NewPCG(p.seed, 0))
+	random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	drawn := usable[:p.sample]
+	if home != nil && !slices.Contains(drawn, home) {
+		drawn = append(drawn, home)
+	}
+	return drawn
+}
+
 func (p *placement) usable(s *fleet.Server, suspects bool) bool {
 	if !s.Usable() || (p.suspected(s.ID) || s.Lapsed()) != suspects {
 		return false
--- /dev/null
+++ b/internal/serve/choose_test.go
@@ -0,0 +1,104 @@
+package serve
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/machine"
+)
+
+func servers(n int) []*fleet.Server {
+	list := make([]*fleet.Server, n)
+	for i := range list {
+		list[i] = &fleet.Server{Server: machine.Server{ID: machine.ID(fmt.Sprintf("s%d", i))}, Lifecycle: machine.Serving, Slots: 12}
+	}
+	return list
+}
+
+func noSuspects(machine.ID) bool { return false }
+
+// Many instances choose by the same old report. The busiest server must not get
+// far more than its part.
+func TestManyInstancesDoNotHerdOnOldReports(t *testing.T) {
+	const instances, requests = 71, 2000
+	list := servers(57)
+	random := rand.New(rand.NewPCG(1, 1))
+	reported := make(map[machine.ID]int)
+	for _, s := range list {
+		reported[s.ID] = random.IntN(10)
+	}
+	arrivals := make(map[machine.ID]int)
+	for range requests {
+		p := &placement{
+			servers: list, suspected: noSuspects, seed: random.Uint64(), sample: sampleSize(instances),
+			predict: func(id machine.ID, _ int) forecast.Estimate {
+				return forecast.Estimate{Work: forecast.Work{Active: reported[id]}}
+			},
+		}
+		c, ok := choose(p)
+		if !ok {
+			t.Fatal("no server was chosen")
+		}
+		arrivals[c.server.ID]++
+	}
+	mean := requests / len(list)
+	for id, n := range arrivals {
+		if n > 5*mean {
+			t.Errorf("%s got %d of %d requests, mean %d", id, n, requests, mean)
+		}
+	}
+}
+
+// Few instances hear each other quickly: the least loaded server is found.
+func TestFewInstancesCompareAllServers(t *testing.T) {
+	list := servers(10)
+	for seed := range uint64(50) {
+		p := &placement{
+			servers: list, suspected: noSuspects, seed: seed, sample: sampleSize(7),
+			predict: func(id machine.ID, _ int) forecast.Estimate {
+				if id == "s7" {
+					return forecast.Estimate{}
+				}
+				return forecast.Estimate{Work: forecast.Work{Active: 6}}
+			},
+		}
+		if c, _ := choose(p); c.server.ID != "s7" {
+			t.Fatalf("seed %d: chose %s, want the idle s7", seed, c.server.ID)
+		}
+	}
+}
+
+// Requests that share the beginning of their prompts go to one server, also
+// when it is not among those drawn, unless it is busy.
+func TestSharedPromptsMeetAtTheirHome(t *testing.T) {
+	list := servers(57)
+	prompt := func(last uint64) *forecast.Prompt {
+		return &forecast.Prompt{Tokens: 12_000, Parts: []forecast.Part{{ID: 1, Tokens: 512}, {ID: 2, Tokens: 4870}, {ID: last, Tokens: 6600}}}
+	}
+	board := forecast.NewBoard()
+	now := time.Unix(1_700_000_000, 0)
+	place := func(seed uint64) machine.ID {
+		p := &placement{
+			servers: list, suspected: noSuspects, seed: seed, sample: sampleSize(71), prompt: prompt(seed),
+			predict: func(id machine.ID, assumed int) forecast.Estimate { return board.Predict("p", id, prompt(seed), assumed, now) },
+		}
+		c, _ := choose(p)
+		return c.server.ID
+	}
+	home := place(100)
+	for seed := range uint64(50) {
+		if got := place(seed + 101); got != home {
+			t.Fatalf("seed %d: chose %s, want the home %s", seed, got, home)
+		}
+	}
+	for range 20 {
+		board.Begin("p", home, prompt(7), 0, now)
+	}
+	if got := place(7); got == home {
+		t.Error("a home with a long queue was chosen")
+	}
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -87,7 +87,7 @@
 	now := time.Now()
 	p := &placement{
 		zone: s.Zone, pool: picture.Config.Pools[r.pool], servers: picture.Servers[r.pool],
-		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(),
+		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(), sample: sampleSize(s.Instances()),
 		suspected: func(id machine.ID) bool { return s.suspected(id, now) },
 		predict: func(id machine.ID, assumed int) forecast.Estimate {
 			return s.Board.Predict(r.pool, id, r.req.Prompt, assumed, now)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -105,7 +105,7 @@
 	log.SetOutput(io.Discard)
 	f := &fixture{backend: &fakeBackend{script: script}, quotas: &unlimited{}, usage: &usageCount{}}
 	f.Server = New(Options{
-		Zone: "z", Picture: func() *fleet.Picture { return picture }, Backend: f.backend, Quotas: f.quotas, Usage: f.usage,
+		Zone: "z", Picture: func() *fleet.Picture { return picture }, Instances: func() int { return 7 }, Backend: f.backend, Quotas: f.quotas, Usage: f.usage,
 		Board: forecast.NewBoard(), Budget: retry.NewPoolBudget(0.2, 10), Demand: demand.New(), Log: logrus.NewEntry(log),
 	})
 	return f
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -37,6 +37,8 @@
 	// Zone is the instance's availability zone.
 	Zone    string
 	Picture func() *fleet.Picture
+	// Instances returns the number of entry instances.
+	Instances func() int
 	Backend Backend
 	Quotas  Quotas
 	Usage   Usage
