autoscale: a zone's limit holds for both markets together

Three servers were left when a reclaim took zone a. TestServersOnDemandAreNotPlannedWhereThereIsNoRoom was red.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -145,8 +145,8 @@
 	}
 	s.noteReclaims(in)
 	need := s.need(in, &have)
-	wished := s.cheapest(in, need, func(key lotKey) int { return s.available(in, &have, key) })
-	sure := s.cheapest(in, need, func(key lotKey) int {
+	wished := s.cheapest(in, &have, need, func(key lotKey) int { return s.available(in, &have, key) })
+	sure := s.cheapest(in, &have, need, func(key lotKey) int {
 		if s.overdue(in, key, have.present[key]) {
 			return min(wished[key], have.present[key])
 		}
@@ -234,17 +234,21 @@
 
 // cheapest is the cheapest mix that carries the need, with at most limit
 // reclaimable servers in a zone, also without any one zone's reclaimable servers.
-func (s *Scaler) cheapest(in Input, need float64, limit func(lotKey) int) map[lotKey]int {
+// A zone's limit holds for both markets together.
+func (s *Scaler) cheapest(in Input, have *census, need float64, limit func(lotKey) int) map[lotKey]int {
 	var offers []capacity.Offer
 	for zone, price := range in.Pool.Scaling.ZonePrices {
+		room := in.Pool.Scaling.Max
 		if in.Pool.Scaling.ReclaimablePrice > 0 {
+			reclaimable := limit(lotKey{zone, true})
+			room -= max(reclaimable, have.present[lotKey{zone, true}])
 			offers = append(offers, capacity.Offer{
 				Lot:          capacity.Lot{Zone: zone, Market: capacity.Reclaimable},
-				PricePerHour: price * in.Pool.Scaling.ReclaimablePrice, TokensPerSecond: 1, Max: limit(lotKey{zone, true}),
+				PricePerHour: price * in.Pool.Scaling.ReclaimablePrice, TokensPerSecond: 1, Max: reclaimable,
 			})
 		}
 		offers = append(offers, capacity.Offer{
-			Lot: capacity.Lot{Zone: zone, Market: capacity.OnDemand}, PricePerHour: price, TokensPerSecond: 1, Max: in.Pool.Scaling.Max,
+			Lot: capacity.Lot{Zone: zone, Market: capacity.OnDemand}, PricePerHour: price, TokensPerSecond: 1, Max: room,
 		})
 	}
 	plan := capacity.Cheapest(offers, capacity.Demand{Interactive: math.Ceil(need)}, capacity.Rules{
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -261,3 +261,30 @@
 		t.Errorf("%d servers at the end, want the stray ones given back", r.final)
 	}
 }
+
+// A zone's limit holds for both markets together: servers on demand are not
+// given back elsewhere for ones that have no room beside the zone's reclaimable ones.
+func TestServersOnDemandAreNotPlannedWhereThereIsNoRoom(t *testing.T) {
+	var list []*fleet.Server
+	add := func(n int, zone string, reclaimable bool) {
+		for range n {
+			list = append(list, &fleet.Server{
+				Server:    machine.Server{ID: machine.ID(fmt.Sprint(len(list))), Pool: "p", Zone: zone, Reclaimable: reclaimable},
+				Lifecycle: machine.Serving, Slots: 64,
+			})
+		}
+	}
+	add(4, "a", true)
+	add(2, "a", false)
+	add(4, "c", false)
+	scaler := New(DefaultSettings)
+	for _, zone := range []string{"b", "c"} {
+		scaler.Sent(Order{Pool: "p", Zone: zone, Reclaimable: true, Servers: 4}, Unavailable, start)
+	}
+	in := Input{Pool: pool(), Servers: list, Now: start, Load: Load{TokensPerSecond: 4.9 * rate, ServerRate: rate, Slots: 64, Known: true}}
+	for _, o := range scaler.Plan(in) {
+		if !o.Reclaimable && o.Zone == "c" && o.Servers < 4 {
+			t.Errorf("order %+v gives servers back that the load needs", o)
+		}
+	}
+}
