--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 TOOL := go tool -modfile=tools/go.mod
 PACKAGES := ./...
 SEED ?= 1
-SOURCES = $(wildcard cmd internal test)
+SOURCES = $(wildcard cmd internal platform test)
 
 .PHONY: build
 build:
--- /dev/null
+++ b/internal/autoscale/orders.go
@@ -0,0 +1,104 @@
+package autoscale
+
+import (
+	"slices"
+	"time"
+
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/machine"
+)
+
+// coming is the number of servers that an accepted order will have brought
+// about once they have booted.
+func (s *Scaler) coming(in Input, key lotKey) int {
+	l := s.lots[key]
+	if l == nil || !l.accepted || in.Now.Sub(l.orderedAt) > in.Pool.Scaling.BootTime+s.settings.RepeatAfter {
+		return 0
+	}
+	return l.ordered
+}
+
+// overdue reports whether reclaimable servers of an accepted order should be
+// there by now and are not.
+func (s *Scaler) overdue(in Input, key lotKey, present int) bool {
+	l := s.lots[key]
+	return l != nil && l.accepted && present < l.ordered &&
+		in.Now.Sub(l.orderedAt) > in.Pool.Scaling.BootTime+s.settings.RepeatAfter
+}
+
+// orders compares the target with what was ordered and what is there.
+func (s *Scaler) orders(in Input, have *census, target map[lotKey]int) []Order {
+	var orders []Order
+	for _, reclaimable := range []bool{true, false} {
+		for zone := range in.Pool.Scaling.ZonePrices {
+			key := lotKey{zone, reclaimable}
+			if reclaimable && in.Pool.Scaling.ReclaimablePrice <= 0 {
+				continue
+			}
+			if s.wanted(in, key, have.present[key], target[key]) {
+				orders = append(orders, Order{Pool: in.Pool.Name, Zone: zone, Reclaimable: reclaimable, Servers: target[key]})
+			}
+		}
+	}
+	// Servers are added before others are given back; a refused order is planned
+	// around before any are.
+	slices.SortStableFunc(orders, func(a, b Order) int {
+		return (b.Servers - have.present[lotKey{b.Zone, b.Reclaimable}]) - (a.Servers - have.present[lotKey{a.Zone, a.Reclaimable}])
+	})
+	return orders
+}
+
+// wanted reports whether an order has to be sent.
+func (s *Scaler) wanted(in Input, key lotKey, present, target int) bool {
+	l := s.lot(key)
+	switch {
+	case l.ordered < 0 && present == target:
+		return false
+	case s.refused(in, key) && target >= present:
+		return false
+	case l.ordered != target:
+		return true
+	case !l.accepted:
+		return in.Now.Sub(l.orderedAt) >= s.settings.RepeatAfter
+	case present != target:
+		return in.Now.Sub(l.orderedAt) >= in.Pool.Scaling.BootTime+s.settings.RepeatAfter
+	default:
+		return false
+	}
+}
+
+// Sent records the outcome of an order.
+func (s *Scaler) Sent(o Order, outcome Outcome, now time.Time) {
+	l := s.lot(lotKey{o.Zone, o.Reclaimable})
+	l.ordered, l.orderedAt = o.Servers, now
+	l.accepted = outcome == Accepted
+	switch outcome {
+	case Accepted:
+		l.refusedAt = time.Time{}
+	case Unavailable:
+		l.refusedAt = now
+	}
+}
+
+// Outcome is what became of an order.
+type Outcome uint8
+
+const (
+	// Accepted orders are carried out.
+	Accepted Outcome = iota + 1
+	// Unavailable means that there are no such servers now.
+	Unavailable
+	// Unknown means that the order may or may not be carried out, even late.
+	Unknown
+)
+
+// Serving is the number of a pool's servers that take work.
+func Serving(servers []*fleet.Server) int {
+	n := 0
+	for _, s := range servers {
+		if s.Lifecycle == machine.Serving {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -101,15 +101,6 @@
 	return changed
 }
 
-// Leave marks one incarnation as leaving, as its own answer said.
-func (r *Registry) Leave(id machine.ID, born int64) {
-	if s := r.servers[id]; s != nil && s.Born == born && s.Lifecycle < machine.Leaving {
-		s = copyOf(s)
-		s.Lifecycle = machine.Leaving
-		r.servers[id] = s
-	}
-}
-
 func copyOf(s *Server) *Server {
 	c := *s
 	return &c
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -48,7 +48,7 @@
 	// leastSample and sampleForAll set how many servers are compared: nearly all
 	// where there are few instances, and few where there are many.
 	leastSample  = 3
-	sampleForAll = 14
+	sampleForAll = 60
 )
 
 // sampleSize is the number of servers that a choice compares. What is known of
--- a/internal/serve/choose_test.go
+++ b/internal/serve/choose_test.go
@@ -84,7 +84,9 @@
 	place := func(seed uint64) machine.ID {
 		p := &placement{
 			servers: list, suspected: noSuspects, seed: seed, sample: sampleSize(71), prompt: prompt(seed),
-			predict: func(id machine.ID, assumed int) forecast.Estimate { return board.Predict("p", id, prompt(seed), assumed, now) },
+			predict: func(id machine.ID, assumed int) forecast.Estimate {
+				return board.Predict("p", id, prompt(seed), assumed, now)
+			},
 		}
 		c, _ := choose(p)
 		return c.server.ID
--- /dev/null
+++ b/internal/serve/metrics.go
@@ -0,0 +1,38 @@
+package serve
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"kumquatyard/internal/contract"
+)
+
+var (
+	servedTotal = metrics.NewCounter(`kumquat_serve_requests_total{outcome="served"}`)
+	brokenTotal = metrics.NewCounter(`kumquat_serve_requests_total{outcome="broken"}`)
+	// firstByteSeconds and wholeSeconds are from the request's arrival.
+	firstByteSeconds = metrics.NewHistogram("kumquat_serve_first_byte_seconds")
+	wholeSeconds     = metrics.NewHistogram("kumquat_serve_request_seconds")
+)
+
+// countRefused counts a request that got no answer of a server.
+func countRefused(kind contract.ErrorKind, verdict contract.Verdict) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`kumquat_serve_requests_total{outcome="refused",kind=%q,verdict=%q}`, kind, verdict)).Inc()
+}
+
+// countAttempt counts an attempt that gave the caller no answer.
+func countAttempt(verdict contract.Verdict) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`kumquat_serve_attempts_failed_total{verdict=%q}`, verdict)).Inc()
+}
+
+// countServed counts a request that was answered.
+func (r *run) countServed(err error) {
+	if err != nil {
+		brokenTotal.Inc()
+		return
+	}
+	servedTotal.Inc()
+	wholeSeconds.Update(time.Since(r.req.Arrived).Seconds())
+}
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/contract"
-	"kumquatyard/internal/fleet"
 )
 
 const (
@@ -47,6 +46,7 @@
 
 // logRefused writes the outcome of a request that got no answer of a server.
 func (s *Server) logRefused(req *Request, err *contract.Error) {
+	countRefused(err.Kind, err.Verdict)
 	s.Log.WithFields(logrus.Fields{
 		"event": "request_refused", "request": req.ID, "route": req.Route.Name, "workspace": req.WorkspaceName(),
 		"kind": err.Kind, "verdict": err.Verdict, "retry_after_ms": err.RetryAfter.Milliseconds(),
@@ -55,8 +55,9 @@
 }
 
 // logServed writes the outcome of a request that was answered.
-func (r *run) logServed(server *fleet.Server, err error) {
-	entry := r.server.Log.WithFields(r.fields(server)).WithField("event", "request_served")
+func (r *run) logServed(c candidate, err error) {
+	r.countServed(err)
+	entry := r.server.Log.WithFields(r.fields(c)).WithField("event", "request_served")
 	if err != nil {
 		entry.WithError(err).Info("the answer broke off")
 		return
@@ -66,10 +67,10 @@
 
 // logFailed writes the outcome of an attempt that gave the caller no answer.
 func (r *run) logFailed(c candidate, err error) {
-	fields := r.fields(c.server)
+	countAttempt(contract.VerdictOf(err))
+	fields := r.fields(c)
 	fields["event"] = "attempt_failed"
 	fields["verdict"] = contract.VerdictOf(err)
-	fields["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
 	if errors.Is(err, errUnreachable) {
 		fields["sent"] = false
 	}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -68,7 +68,7 @@
 		}
 		done, err := r.attempt(choice)
 		if done {
-			r.logServed(choice.server, err)
+			r.logServed(choice, err)
 			return err
 		}
 		r.last = err
@@ -334,15 +334,25 @@
 		return nil
 	}
 	r.begun = true
+	firstByteSeconds.Update(time.Since(r.req.Arrived).Seconds())
 	if err := r.caller.Begin(a.Status, a.Header, a.Length); err != nil {
 		return ErrBroken
 	}
 	return nil
 }
 
-func (r *run) fields(server *fleet.Server) logrus.Fields {
-	return logrus.Fields{
+// fields are the inputs of a choice: the version of the configuration, the age
+// of the server's report, and what was predicted from what.
+func (r *run) fields(c candidate) logrus.Fields {
+	f := logrus.Fields{
 		"request": r.req.ID, "route": r.req.Route.Name, "workspace": r.req.WorkspaceName(), "pool": r.pool,
-		"server": server.ID, "attempt": r.attempts, "ms": time.Since(r.req.Arrived).Milliseconds(),
+		"server": c.server.ID, "attempt": r.attempts, "ms": time.Since(r.req.Arrived).Milliseconds(),
+		"config": r.server.Picture().Config.Version, "report_age_ms": time.Since(c.server.ReportedAt).Milliseconds(),
+		"active": c.estimate.Work.Active,
 	}
+	if r.req.Prompt != nil {
+		f["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
+		f["cached_tokens"] = c.estimate.Cached
+	}
+	return f
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -39,13 +39,13 @@
 	Picture func() *fleet.Picture
 	// Instances returns the number of entry instances.
 	Instances func() int
-	Backend Backend
-	Quotas  Quotas
-	Usage   Usage
-	Board   *forecast.Board
-	Budget  *retry.PoolBudget
-	Demand  *demand.Meter
-	Log     *logrus.Entry
+	Backend   Backend
+	Quotas    Quotas
+	Usage     Usage
+	Board     *forecast.Board
+	Budget    *retry.PoolBudget
+	Demand    *demand.Meter
+	Log       *logrus.Entry
 }
 
 // Server serves requests. It is safe for concurrent use.
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -82,8 +82,6 @@
 	Refused bool
 	// Misdirected is set when another server has the address.
 	Misdirected bool
-	// Leaving is set when the server takes no more connections.
-	Leaving bool
 	// Authentic is set when the server vouches for the answer as its own.
 	Authentic bool
 	// Load is the server's load, if it tells.
