usage: a report waits for an instance that is silent since the window's end

The report now waits until 2.5 s before it is due. TestReportWaitsForAnInstanceThatIsNotHeard is red before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,6 +85,8 @@
 	Picture func() *fleet.Picture
 	Now     func() time.Time
 	Demand  *demand.Meter
+	// AllHeard reports whether all other instances were heard in the time ago.
+	AllHeard func(ago time.Duration) bool
 	// Candidate reports whether this instance should compete for the duties.
 	Candidate func() bool
 	// Holding is told when this instance takes and loses the duties.
@@ -206,7 +208,7 @@
 }
 
 func (i *Instance) dutyContext() DutyContext {
-	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
+	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, AllHeard: i.exchange.AllHeard, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
 }
 
 func (i *Instance) follower() *follow.Follower {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -119,6 +119,19 @@
 	return n
 }
 
+// AllHeard reports whether every instance that is sent to was heard in the time ago.
+func (e *Exchange) AllHeard(ago time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	since := time.Now().Add(-ago)
+	for _, p := range e.peers {
+		if p.heard.Before(since) {
+			return false
+		}
+	}
+	return true
+}
+
 // Run sends and receives until ctx is done.
 func (e *Exchange) Run(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp4", e.options.Listen)
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -18,6 +18,9 @@
 const (
 	// settleTime is how long after a window's end its counts may still come in.
 	settleTime = 2500 * time.Millisecond
+	// lastMoment is how long before it is due a report is sent although an
+	// instance has not been heard since the window's end: it may be frozen.
+	lastMoment = 2500 * time.Millisecond
 	// reportInterval is the time between looks for windows to report.
 	reportInterval = 500 * time.Millisecond
 	// keptReports is the number of windows whose reports stay in the store.
@@ -39,6 +42,8 @@
 	Destination Destination
 	// Due is how long after a window's end its report counts.
 	Due time.Duration
+	// Settled reports whether all instances were heard in the time ago; nil is always.
+	Settled func(ago time.Duration) bool
 	// Now tells the corrected time of day.
 	Now func() time.Time
 	Log *logrus.Entry
@@ -76,6 +81,9 @@
 		if now.Before(end.Add(settleTime)) {
 			return nil
 		}
+		if r.Settled != nil && !r.Settled(now.Sub(end)) && now.Before(end.Add(r.Due-lastMoment)) {
+			return nil
+		}
 		if now.After(end.Add(r.Due)) {
 			r.Log.WithFields(logrus.Fields{"event": "usage_missed", "window": r.next}).Warn("the window could not be reported in time")
 			r.next++
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -195,6 +195,41 @@
 	}
 }
 
+// An instance that is frozen at a window's end tells of its counts when it wakes;
+// the report waits for it while there is time.
+func TestReportWaitsForAnInstanceThatIsNotHeard(t *testing.T) {
+	f := newFixture()
+	c := New(length)
+	w := c.At(f.now)
+	r := f.reporter(c)
+	heard := false
+	r.Settled = func(time.Duration) bool { return heard }
+	f.now = c.End(w).Add(settleTime)
+	if err := r.reportDue(t.Context(), 1); err != nil || len(f.dest.reports) != 0 {
+		t.Fatalf("reported %v (%v) without an instance's counts", f.dest.reports, err)
+	}
+	c.Heard("frozen/1", map[Window]Counts{w: {"a": 5}})
+	heard = true
+	if err := r.reportDue(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	if got := f.dest.reports[w]; len(got) != 1 || got[0]["a"] != 5 {
+		t.Errorf("reports %v, want the frozen instance's counts", got)
+	}
+}
+
+func TestReportIsSentBeforeItIsDue(t *testing.T) {
+	f := newFixture()
+	c := New(length)
+	w := c.At(f.now)
+	r := f.reporter(c)
+	r.Settled = func(time.Duration) bool { return false }
+	f.now = c.End(w).Add(r.Due - lastMoment)
+	if err := r.reportDue(t.Context(), 1); err != nil || len(f.dest.reports[w]) != 1 {
+		t.Errorf("reports %v (%v), want one although an instance is silent", f.dest.reports, err)
+	}
+}
+
 func TestFencedHolderStops(t *testing.T) {
 	f := newFixture()
 	f.dest.fenced = true
