--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -66,16 +66,21 @@
 	}
 }
 
-// rate is the larger of the recent and the longer mean, in tokens a second.
+// rate is the larger of the recent and the longer mean, in tokens a second. The
+// slot that has begun does not count, but for the very first.
 func (s *series) rate(now time.Time) float64 {
 	s.advance(slotOf(now))
-	known := min(s.last-s.first+1, slots)
-	return max(s.mean(min(shortSlots, known)), s.mean(known))
+	whole := min(s.last-s.first, slots-1)
+	if whole == 0 {
+		return s.tokens[s.last%slots] / slot.Seconds()
+	}
+	return max(s.mean(min(shortSlots, whole)), s.mean(whole))
 }
 
+// mean is that of the last n whole slots.
 func (s *series) mean(n int64) float64 {
 	sum := 0.0
-	for i := range n {
+	for i := int64(1); i <= n; i++ {
 		sum += s.tokens[((s.last-i)%slots+slots)%slots]
 	}
 	return sum / (float64(n) * slot.Seconds())
