--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -39,7 +39,7 @@
 
 // DefaultSettings suit pools that boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.75, Occupancy: 0.65, SlotReserve: 1.6, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
+	Utilization: 0.85, Occupancy: 0.65, SlotReserve: 1.6, ShrinkAfter: 6 * time.Second, GrowthPause: 1200 * time.Millisecond,
 	RefusedFor: 2 * time.Second, RepeatAfter: 1500 * time.Millisecond,
 }
 
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -16,9 +16,11 @@
 	// homeShare is the part of the shared prompt that its home is assumed to keep
 	// when nothing is known.
 	homeShare = 0.85
-	// slowdownPerSlot is the delay that each running request adds to the tokens of
-	// the others, as a part of the time to the first token.
+	// batchPenalty is what a full batch delays one more request's tokens; a
+	// quarter of it is counted for each request that waits for a slot.
 	batchPenalty = 150 * time.Millisecond
+	// tieBreak bounds the random cost by which equal servers are told apart.
+	tieBreak = time.Millisecond
 	// otherZonePenalty prices bytes between zones.
 	otherZonePenalty = 2 * time.Millisecond
 )
@@ -33,7 +35,6 @@
 // placement is what a choice depends on.
 type placement struct {
 	zone      string
-	pool      *fleet.Pool
 	servers   []*fleet.Server
 	exclude   []machine.ID
 	prompt    *forecast.Prompt
@@ -81,8 +82,8 @@
 	}
 	for _, s := range p.sampled(usable, home) {
 		c := p.candidate(s, s == home)
-		draw = draw*6364136223846793005 + 1442695040888963407
-		c.cost += time.Duration(draw >> 44) // up to 1 ms, so that equals are spread
+		draw = mix(draw + 1)
+		c.cost += time.Duration(draw % uint64(tieBreak))
 		if !found || c.cost < best.cost {
 			best, found = c, true
 		}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -86,7 +86,7 @@
 	picture := s.Picture()
 	now := time.Now()
 	p := &placement{
-		zone: s.Zone, pool: picture.Config.Pools[r.pool], servers: picture.Servers[r.pool],
+		zone: s.Zone, servers: picture.Servers[r.pool],
 		exclude: r.exclude, prompt: r.req.Prompt, seed: seed(), sample: sampleSize(s.Instances()),
 		suspected: func(id machine.ID) bool { return s.suspected(id, now) },
 		predict: func(id machine.ID, assumed int) forecast.Estimate {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,7 +9,7 @@
 
 const (
 	readBufferBytes = 8 << 10
-	// eventBytes is the size of the largest event that a stream may hold.
+	// maxSkippedBytes bounds the answer to another request that is skipped.
 	maxSkippedBytes = 1 << 20
 )
 
