--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -44,16 +44,24 @@
 	return wait + time.Duration(rand.Int64N(int64(wait)))
 }
 
-// logRefused writes the outcome of a request that got no answer of a server.
-func (s *Server) logRefused(req *Request, err *contract.Error) {
+// logRefused writes the outcome of a request that got no answer of a server, and
+// the inputs that decided it.
+func (s *Server) logRefused(req *Request, err *contract.Error, inputs logrus.Fields) {
 	countRefused(err.Kind, err.Verdict)
-	s.Log.WithFields(logrus.Fields{
+	s.Log.WithFields(inputs).WithFields(logrus.Fields{
 		"event": "request_refused", "request": req.ID, "route": req.Route.Name, "workspace": req.WorkspaceName(),
 		"kind": err.Kind, "verdict": err.Verdict, "retry_after_ms": err.RetryAfter.Milliseconds(),
 		"ms": time.Since(req.Arrived).Milliseconds(),
 	}).Info(err.Message)
 }
 
+// logBroken writes the outcome of a request whose answer broke off after its head
+// was sent, and that no other server may go on with.
+func (r *run) logBroken(err error) {
+	brokenTotal.Inc()
+	r.server.Log.WithFields(r.fields(r.considered)).WithField("event", "request_broken").WithError(err).Info("the answer broke off at the server")
+}
+
 // logServed writes the outcome of a request that was answered.
 func (r *run) logServed(c candidate, err error) {
 	r.countServed(err)
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -41,8 +41,10 @@
 	attempts int
 	tries    int
 	exclude  []machine.ID
-	// current is the server of the attempt that runs.
-	current machine.ID
+	// current is the server of the attempt that runs, and considered the last one
+	// that was thought of.
+	current    machine.ID
+	considered candidate
 	// mayHaveRun is set when an attempt's outcome is unknown, ran when a server
 	// is known to have worked on it.
 	mayHaveRun bool
@@ -97,6 +99,7 @@
 	if !ok {
 		return best, refusal(contract.KindUnavailable, "no server of the pool takes requests", retryAfterNoServer)
 	}
+	r.considered = best
 	r.noteDemand(&best, now)
 	if wait := r.lateness(&best, now); wait > 0 && r.attempts == 0 {
 		return best, refusal(contract.KindUnavailable, "no server would answer in time", wait)
@@ -139,10 +142,15 @@
 // giveUp ends the request without a whole answer.
 func (r *run) giveUp(err error) error {
 	if r.begun {
+		r.logBroken(err)
 		return ErrBroken
 	}
 	e := r.final(err)
-	r.server.logRefused(r.req, e)
+	var inputs logrus.Fields
+	if r.considered.server != nil {
+		inputs = r.fields(r.considered)
+	}
+	r.server.logRefused(r.req, e, inputs)
 	return e
 }
 
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -91,7 +91,7 @@
 	charge := quotaCost(req)
 	if wait, ok := s.Quotas.Take(req.Workspace, charge, req.Arrived); !ok {
 		err := refusal(contract.KindOverloaded, "the workspace's quota is used up", wait)
-		s.logRefused(req, err)
+		s.logRefused(req, err, logrus.Fields{"amount": charge, "wait_ms": wait.Milliseconds()})
 		return err
 	}
 	r := &run{server: s, ctx: ctx, req: req, caller: caller}
