--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -96,7 +96,8 @@
 	// first is the largest number of servers seen before the load was known.
 	first   int
 	firstAt time.Time
-	// noted are the servers whose reclaim was taken notice of.
+	// noted are the servers whose reclaim was taken notice of; a holder of the duty
+	// sees few enough of them to keep all.
 	noted map[machine.ID]bool
 }
 
@@ -119,11 +120,8 @@
 	return l
 }
 
-// census counts the servers of a pool by zone and market.
-type census struct {
-	// present are those that serve and stay, all those that are listed.
-	present map[lotKey]int
-}
+// census counts the servers of a pool that serve and stay, by zone and market.
+type census struct{ present map[lotKey]int }
 
 func count(servers []*fleet.Server) census {
 	c := census{present: make(map[lotKey]int)}
@@ -144,7 +142,7 @@
 		return nil
 	}
 	s.noteReclaims(in)
-	need := s.need(in, &have)
+	need := s.need(in)
 	wished := s.cheapest(in, &have, need, func(key lotKey) int { return s.available(in, &have, key) })
 	sure := s.cheapest(in, &have, need, func(key lotKey) int {
 		if s.overdue(in, key, have.present[key]) {
@@ -206,7 +204,7 @@
 
 // need is the number of servers that the load needs, held up for a while
 // after it falls.
-func (s *Scaler) need(in Input, have *census) float64 {
+func (s *Scaler) need(in Input) float64 {
 	l := in.Load
 	need := 0.0
 	if l.ServerRate > 0 {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -56,7 +56,6 @@
 	begun bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
-	last      error
 }
 
 func (r *run) serve() error {
@@ -73,7 +72,6 @@
 			r.logServed(choice, err)
 			return err
 		}
-		r.last = err
 		r.logFailed(choice, err)
 		if !r.mayRetry(err) {
 			return r.giveUp(err)
