--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -217,7 +217,7 @@
 		Parts: []follow.Part{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: i.Log}},
 			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: i.Log}},
-			{Prefix: membersPrefix, Handler: &memberHandler{prefix: membersPrefix, changed: i.setMembers, log: i.Log}},
+			{Prefix: membersPrefix, Handler: &memberHandler{changed: i.setMembers, log: i.Log}},
 		},
 	}
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -156,7 +156,6 @@
 
 // memberHandler follows the instances' entries.
 type memberHandler struct {
-	prefix  string
 	changed func([]*pb.Instance)
 	log     *logrus.Entry
 	members map[string]*pb.Instance
--- /dev/null
+++ b/internal/entry/follow_test.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/store"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func quietLog() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+// decodeVersion reads a configuration that is its version alone.
+func decodeVersion(value []byte) (*fleet.Config, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return fleet.NewConfig(version, nil, nil, nil, fleet.Limits{}), nil
+}
+
+// Versions arrive repeated, late, unreadable and in any order, by changes and by
+// lists: the one in force never goes back, and is the largest that was read.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keeper := newPictureKeeper(quietLog())
+		h := &configHandler{key: "config", decode: decodeVersion, keeper: keeper, log: quietLog()}
+		largest := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			version := rapid.Uint64Range(1, 20).Draw(t, "version")
+			item := store.Item{Key: "config", Value: strconv.AppendUint(nil, version, 10)}
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				item.Value = []byte("unreadable")
+			case 1:
+				item = store.Item{Key: "config", Removed: true}
+			case 2:
+				item.Key = "config-of-another"
+			default:
+				largest = max(largest, version)
+			}
+			if rapid.Bool().Draw(t, "list") {
+				h.Resync([]store.Item{item}, now, time.Time{})
+			} else {
+				h.Change([]store.Item{item}, now, time.Time{})
+			}
+			inForce := uint64(0)
+			if p := keeper.Load(); p != nil {
+				inForce = p.Config.Version
+			}
+			if inForce != largest {
+				t.Fatalf("version %d is in force, want %d", inForce, largest)
+			}
+		}
+	})
+}
+
+var errUnreadable = errors.New("unreadable")
+
+// decodeState reads a server's entry that is its state alone.
+func decodeState(item store.Item, _ time.Time) (fleet.Server, error) {
+	states := map[string]machine.Lifecycle{"serving": machine.Serving, "leaving": machine.Leaving}
+	state, ok := states[string(item.Value)]
+	if !ok {
+		return fleet.Server{}, errUnreadable
+	}
+	id := machine.ID(strings.TrimPrefix(item.Key, "servers/"))
+	return fleet.Server{Server: machine.Server{ID: id, Pool: "p"}, Lifecycle: state}, nil
+}
+
+func serversOf(k *pictureKeeper) map[machine.ID]machine.Lifecycle {
+	got := make(map[machine.ID]machine.Lifecycle)
+	for _, s := range k.Load().Servers["p"] {
+		got[s.ID] = s.Lifecycle
+	}
+	return got
+}
+
+func TestServersFollowTheStore(t *testing.T) {
+	keeper := newPictureKeeper(quietLog())
+	keeper.setConfig(fleet.NewConfig(1, nil, nil, nil, fleet.Limits{}))
+	h := &serverHandler{
+		decode: decodeState, keeper: keeper, log: quietLog(),
+		id: func(key string) machine.ID { return machine.ID(strings.TrimPrefix(key, "servers/")) },
+	}
+	entry := func(id, state string) store.Item { return store.Item{Key: "servers/" + id, Value: []byte(state)} }
+	h.Resync([]store.Item{entry("a", "serving"), entry("b", "serving"), entry("c", "serving"), entry("x", "of another writer")}, now, time.Time{})
+	h.Change([]store.Item{
+		entry("a", "leaving"),
+		{Key: "servers/b", Removed: true},
+		// What cannot be read names no server; the others hold.
+		entry("c", "garbage"),
+	}, now, time.Time{})
+	want := map[machine.ID]machine.Lifecycle{"a": machine.Leaving, "c": machine.Serving}
+	if diff := cmp.Diff(want, serversOf(keeper)); diff != "" {
+		t.Errorf("servers (-want +got):\n%s", diff)
+	}
+}
+
+// A server that left in a gap of the watch is gone after the next list; one that
+// lapsed in an outage is kept until its time.
+func TestServersAfterAGap(t *testing.T) {
+	keeper := newPictureKeeper(quietLog())
+	keeper.setConfig(fleet.NewConfig(1, nil, nil, nil, fleet.Limits{}))
+	h := &serverHandler{
+		decode: decodeState, keeper: keeper, log: quietLog(),
+		id: func(key string) machine.ID { return machine.ID(strings.TrimPrefix(key, "servers/")) },
+	}
+	list := []store.Item{{Key: "servers/a", Value: []byte("serving")}, {Key: "servers/b", Value: []byte("serving")}}
+	h.Resync(list, now, time.Time{})
+	h.Resync(list[:1], now, time.Time{})
+	if got := serversOf(keeper); len(got) != 1 {
+		t.Errorf("servers after a gap = %v, want a alone", got)
+	}
+	h.Resync(list, now, time.Time{})
+	until := now.Add(2 * time.Second)
+	h.Resync(list[:1], now, until)
+	if got := serversOf(keeper); len(got) != 2 {
+		t.Errorf("servers right after an outage = %v, want both", got)
+	}
+	keeper.expire(until)
+	if got := serversOf(keeper); len(got) != 1 {
+		t.Errorf("servers when the lapse is over = %v, want a alone", got)
+	}
+}
+
+func TestMembersFollowTheStore(t *testing.T) {
+	var members []*pb.Instance
+	h := &memberHandler{changed: func(m []*pb.Instance) { members = m }, log: quietLog()}
+	entry := func(name string) store.Item {
+		value, err := proto.Marshal(&pb.Instance{Name: name})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store.Item{Key: membersPrefix + name, Value: value}
+	}
+	h.Resync([]store.Item{entry("a"), entry("b")}, now, time.Time{})
+	h.Change([]store.Item{{Key: membersPrefix + "a", Removed: true}, {Key: membersPrefix + "c", Value: []byte{0xff}}}, now, time.Time{})
+	if len(members) != 1 || members[0].GetName() != "b" {
+		t.Errorf("members = %v, want b alone", members)
+	}
+}
