--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -133,6 +133,15 @@
 	return c
 }
 
+// total is the number of servers of all zones and markets.
+func (c census) total() int {
+	n := 0
+	for _, present := range c.present {
+		n += present
+	}
+	return n
+}
+
 // Plan returns the orders to send now. Reclaimable servers are ordered as if all
 // could be had but for those that were refused; servers on demand make up for the
 // ones that were refused, and for those that are overdue.
@@ -178,11 +187,7 @@
 // growing reports whether servers may still be coming up that were there at
 // first: they register one by one.
 func (s *Scaler) growing(in Input, have *census) bool {
-	total := 0
-	for _, n := range have.present {
-		total += n
-	}
-	if total > s.first {
+	if total := have.total(); total > s.first {
 		s.first, s.firstAt = total, in.Now
 	}
 	return in.Now.Sub(s.firstAt) < s.settings.GrowthPause
--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -3,9 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"kumquatyard/internal/fleet"
-	"kumquatyard/internal/machine"
 )
 
 // coming is the number of servers that an accepted order will have brought
@@ -91,14 +88,3 @@
 	// Unknown means that the order may or may not be carried out, even late.
 	Unknown
 )
-
-// Serving is the number of a pool's servers that take work.
-func Serving(servers []*fleet.Server) int {
-	n := 0
-	for _, s := range servers {
-		if s.Lifecycle == machine.Serving {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/autoscale/run.go
+++ b/internal/autoscale/run.go
@@ -106,7 +106,7 @@
 	err := r.Destination.OrderServers(ctx, fence, o)
 	fields := logrus.Fields{
 		"event": "servers_ordered", "pool": o.Pool, "zone": o.Zone, "reclaimable": o.Reclaimable, "servers": o.Servers, "fence": fence,
-		"tokens_per_s": int(in.Load.TokensPerSecond), "server_rate": int(in.Load.ServerRate), "running": in.Load.Running, "serving": Serving(in.Servers),
+		"tokens_per_s": int(in.Load.TokensPerSecond), "server_rate": int(in.Load.ServerRate), "running": in.Load.Running, "serving": count(in.Servers).total(),
 	}
 	entry := r.Log.WithFields(fields)
 	switch {
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -102,6 +102,12 @@
 	Err error
 }
 
+// Unavailable returns the failure of a call to a server or a platform service;
+// err is its cause, if any.
+func Unavailable(verdict Verdict, message string, err error) *Error {
+	return &Error{Kind: KindUnavailable, Verdict: verdict, Message: message, Err: err}
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.Err == nil {
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -248,7 +248,8 @@
 	}
 }
 
-// Forget drops a server that is gone.
+// Forget drops the servers that are not to be kept and have no work of this
+// instance.
 func (b *Board) Forget(keep func(machine.ID) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -276,16 +276,15 @@
 	if err != nil {
 		r.server.observe(server.ID, true)
 		r.mayHaveRun = true
-		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's answer broke off", Err: err}
+		return false, contract.Unavailable(contract.MayHaveRun, "the server's answer broke off", err)
 	}
 	failed := a.Status >= http.StatusInternalServerError
 	r.server.observe(server.ID, failed)
 	if failed && r.mayRepeatFailure() {
-		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.Ran, Message: "the server failed the request"}
+		return false, contract.Unavailable(contract.Ran, "the server failed the request", nil)
 	}
 	if !a.Authentic && a.Status < http.StatusMultipleChoices {
-		r.mayHaveRun = true
-		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the answer does not bear the server's mark"}
+		return false, r.unmarked()
 	}
 	if len(head) < bufferedBytes {
 		a.Length = int64(len(head))
@@ -299,20 +298,26 @@
 	return true, r.relayRest(a)
 }
 
+// unmarked records an answer that the server does not vouch for.
+func (r *run) unmarked() error {
+	r.mayHaveRun = true
+	return contract.Unavailable(contract.MayHaveRun, "the answer does not bear the server's mark", nil)
+}
+
 // mayRepeatFailure reports whether another server is asked after a server's own
 // failure; otherwise the caller gets that failure.
 func (r *run) mayRepeatFailure() bool {
-	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || len(r.others()) == 0 {
+	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || !r.hasOther() {
 		return false
 	}
 	r.granted = r.server.Budget.Take(r.pool)
 	return r.granted
 }
 
-// others are the usable servers that were not tried yet.
-func (r *run) others() []*fleet.Server {
-	return slices.DeleteFunc(slices.Clone(r.server.Picture().Servers[r.pool]), func(s *fleet.Server) bool {
-		return !s.Usable() || s.ID == r.current || slices.Contains(r.exclude, s.ID)
+// hasOther reports whether a usable server was not tried yet.
+func (r *run) hasOther() bool {
+	return slices.ContainsFunc(r.server.Picture().Servers[r.pool], func(s *fleet.Server) bool {
+		return s.Usable() && s.ID != r.current && !slices.Contains(r.exclude, s.ID)
 	})
 }
 
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -156,7 +156,7 @@
 	s.outliers.Observe(outlier.Sample{Server: id, Failed: failed})
 }
 
-// Maintain updates the ejected servers; it is called about once a second.
+// Maintain updates the ejected servers; it is called several times a second.
 func (s *Server) Maintain(now time.Time) {
 	p := s.Picture()
 	if p == nil {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -89,8 +89,7 @@
 // stream goes on at another server.
 func (r *run) relayStream(a *Answer, job *forecast.Job, server *fleet.Server, heard func()) (done bool, err error) {
 	if !a.Authentic {
-		r.mayHaveRun = true
-		return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the answer does not bear the server's mark"}
+		return false, r.unmarked()
 	}
 	a.Length = -1
 	events := newEventReader(a.Body)
@@ -112,7 +111,7 @@
 			if r.ctx.Err() == nil {
 				r.server.observe(server.ID, true)
 			}
-			return false, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "the server's stream broke off", Err: err}
+			return false, contract.Unavailable(contract.MayHaveRun, "the server's stream broke off", err)
 		}
 	}
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -214,7 +214,7 @@
 }
 
 func failure(v contract.Verdict, message string, err error) *contract.Error {
-	e := &contract.Error{Kind: contract.KindUnavailable, Verdict: v, Message: message, Err: err}
+	e := contract.Unavailable(v, message, err)
 	if errors.Is(err, context.DeadlineExceeded) {
 		e.Kind = contract.KindDeadline
 	}
