gateway: a run whose caller left is not sent to another engine

Change: before a lost stream is sent on, the caller's socket is asked (a peek, no byte is taken) whether the peer closed it.

Ruled out: waiting for a failed write (one or two writes late).

Left: a caller behind TLS hides its close behind the session's alert.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -38,10 +39,12 @@
 
 // run is one chat request on its way through any number of engines.
 type run struct {
-	g       *Gateway
-	req     *chatRequest
-	ctx     context.Context
-	span    trace.Span
+	g    *Gateway
+	req  *chatRequest
+	ctx  context.Context
+	span trace.Span
+	// caller is the connection that the answer goes to.
+	caller  net.Conn
 	asm     *answer.Assembler
 	attempt uint32
 	src     *source
@@ -215,8 +218,13 @@
 	r.detach()
 }
 
-// open finds an engine for the rest of the answer.
+// open finds an engine for the rest of the answer, as long as the caller is
+// there: a caller that left may read the rest through another gateway, whose
+// stream at the engine a second send would end.
 func (r *run) open() error {
+	if r.caller != nil && callerLeft(r.caller) {
+		return errCallerLeft
+	}
 	if r.server != nil && r.held < heldTries && r.attempt > 0 {
 		r.held++
 		if r.pickUp(r.server) == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,6 +59,7 @@
 		done()
 		return err
 	}
+	r.caller = c.RequestCtx().Conn()
 	finish := func(err error) {
 		r.close()
 		leave(admit.Outcome{Latency: time.Since(began), FirstByte: r.firstByte, Failed: err != nil})
