entry: one instance of a zone reads the store and passes changes on

Cause: on the grown sites each of 83 instances watched the store with pauses of up to 1.3 s, to bound the calls.

Change: the first instance of a zone by name that is heard, reaches the store and does not stop reads every 250 to 400 ms and sends the changes as datagrams to its zone. An instance without news of a store that answers for 1.1 s, or with a gap, reads for itself. An instance cut off from the store hears through the others.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,9 @@
 	core     *serve.Server
 	front    Front
 	exchange *peers.Exchange
+	follower *follow.Follower
+	// feed holds what other instances read of the store.
+	feed chan follow.Batch
 
 	incarnation uint64
 	sequence    atomic.Uint64
@@ -136,6 +139,7 @@
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0),
 		demand:      demand.New(),
+		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
 	}
 	i.core = serve.New(serve.Options{
@@ -144,8 +148,10 @@
 	})
 	i.front = o.Front(i.core, i.keeper.Load)
 	i.exchange = peers.New(peers.Options{
-		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Collect: i.state, Full: i.toHolder, Apply: i.apply, Log: o.Log,
+		Listen: o.Settings.PeersAddress, Name: o.Settings.Name, Zone: o.Settings.Zone,
+		Collect: i.state, Full: i.toHolder, Apply: i.apply, ApplyChanges: i.takeChanges, Log: o.Log,
 	})
+	i.follower = i.newFollower()
 	return i
 }
 
@@ -188,7 +194,7 @@
 		return telemetry.Serve(ctx, i.Settings.MetricsAddress, nil, nil)
 	})
 	start(i.exchange.Run)
-	start(func(ctx context.Context) error { i.follower().Run(ctx); return nil })
+	start(func(ctx context.Context) error { i.follower.Run(ctx); return nil })
 	start(func(context.Context) error { i.register(ctx, background); return nil })
 	start(func(ctx context.Context) error { i.maintain(ctx); return nil })
 	if i.Duty != nil {
@@ -211,9 +217,10 @@
 	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, AllHeard: i.exchange.AllHeard, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
 }
 
-func (i *Instance) follower() *follow.Follower {
+func (i *Instance) newFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: i.Store, Log: i.Log, Pause: i.watchPause,
+		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
 		Parts: []follow.Part{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: i.Log}},
 			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: i.Log}},
@@ -232,6 +239,9 @@
 )
 
 func (i *Instance) watchPause() time.Duration {
+	if i.storeRole() == follow.Reads {
+		return watchPauseBase
+	}
 	return min(watchPauseBase+time.Duration(i.count())*watchPausePerInstance, maxWatchPause)
 }
 
--- /dev/null
+++ b/internal/entry/feed.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"time"
+
+	"kumquatyard/internal/follow"
+	"kumquatyard/internal/store"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	// maxFedValue and maxFedBytes bound what is sent along in one datagram; what
+	// is larger is read from the store by each instance.
+	maxFedValue = 8 << 10
+	maxFedBytes = 32 << 10
+	// feedBuffer is the number of batches that may wait for the follower; a full
+	// buffer is like a lost datagram.
+	feedBuffer = 32
+)
+
+// storeRole says who reads the store for this instance.
+func (i *Instance) storeRole() follow.Role {
+	fit := !i.stopping.Load() && !i.follower.Away()
+	switch i.exchange.Reader(fit, time.Now()) {
+	case "":
+		return follow.Alone
+	case i.Settings.Name:
+		return follow.Reads
+	default:
+		return follow.Fed
+	}
+}
+
+// publishChanges passes on what this instance read of the store.
+func (i *Instance) publishChanges(b follow.Batch) {
+	now := time.Now()
+	m := &pb.StoreChanges{From: i.Settings.Name, After: b.After, Revision: b.Revision, AgeUs: now.Sub(b.ReadAt).Microseconds()}
+	if !b.LapsedUntil.IsZero() {
+		m.LapseLeftUs = b.LapsedUntil.Sub(now).Microseconds()
+	}
+	room := maxFedBytes
+	for _, c := range b.Changes {
+		item := &pb.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision, Removed: c.Removed}
+		if len(c.Value) > min(maxFedValue, room) {
+			item.Value, item.ValueOmitted = nil, true
+		}
+		room -= len(item.Value)
+		m.Items = append(m.Items, item)
+	}
+	i.exchange.SendChanges(m)
+}
+
+// takeChanges hands what another instance read to the follower.
+func (i *Instance) takeChanges(m *pb.StoreChanges, now time.Time) {
+	b := follow.Batch{
+		After: m.GetAfter(), Revision: m.GetRevision(),
+		ReadAt: now.Add(-time.Duration(m.GetAgeUs()) * time.Microsecond),
+	}
+	if left := m.GetLapseLeftUs(); left > 0 {
+		b.LapsedUntil = now.Add(time.Duration(left) * time.Microsecond)
+	}
+	for _, item := range m.GetItems() {
+		b.Changes = append(b.Changes, follow.Change{
+			Item:         store.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved()},
+			ValueOmitted: item.GetValueOmitted(),
+		})
+	}
+	select {
+	case i.feed <- b:
+	default:
+		i.Log.WithField("event", "feed_full").Debug("changes passed on by another instance were dropped")
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -30,7 +30,7 @@
 	sequence := i.sequence.Add(1)
 	m := &pb.InstanceState{
 		From: i.self(), Sequence: sequence, UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
-		HoldsDuties: i.holding.Load(),
+		HoldsDuties: i.holding.Load(), StoreAway: i.follower.Away(),
 	}
 	if p := i.keeper.Load(); p != nil {
 		m.ConfigVersion = p.Config.Version
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,6 +7,7 @@
 	"errors"
 	"math"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -52,13 +53,22 @@
 	Parts []Part
 	// Pause is the time between two calls that tell of changes.
 	Pause func() time.Duration
-	Log   *logrus.Entry
+	// Role says who reads the store; nil is Alone.
+	Role func() Role
+	// Feed brings what another instance read.
+	Feed <-chan Batch
+	// Publish gets what this instance read for others.
+	Publish func(Batch)
+	Log     *logrus.Entry
 
 	revision uint64
+	// readAt is when the store last answered this instance or the one that
+	// reads for it.
+	readAt time.Time
 	// changed is set when the last call told of changes.
 	changed bool
 	// away is set while the store does not answer, returned when it did again.
-	away     bool
+	away     atomic.Bool
 	returned time.Time
 }
 
@@ -67,6 +77,9 @@
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = retryFirst, retryMax
 	for ctx.Err() == nil {
+		if f.fed(ctx) {
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
 			retry.Reset()
@@ -100,11 +113,7 @@
 	if f.revision == 0 {
 		return f.resync(ctx)
 	}
-	wait := watchWait
-	if f.away {
-		wait = probeWait
-	}
-	items, revision, err := f.Store.Watch(ctx, everything, f.revision, wait)
+	items, revision, err := f.Store.Watch(ctx, everything, f.revision, f.wait())
 	if errors.Is(err, store.ErrHistoryGone) {
 		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "revision": f.revision}).Info("changes were missed; reading the list anew")
 		return f.resync(ctx)
@@ -114,19 +123,31 @@
 	}
 	now := time.Now()
 	f.succeeded(now)
+	f.readAt = now
+	f.publish(f.revision, revision, items, now)
 	f.revision = revision
 	f.changed = len(items) > 0
-	if f.changed {
-		f.dispatch(items, now)
-	}
+	f.dispatch(items, now, f.lapsedUntil(now))
 	return nil
 }
 
+// wait is how long the store may hold the next watch.
+func (f *Follower) wait() time.Duration {
+	switch {
+	case f.away.Load(), f.role() == Fed:
+		return probeWait
+	case f.role() == Reads:
+		return readerWait
+	default:
+		return watchWait
+	}
+}
+
 // everything is the prefix of all keys.
 const everything = ""
 
 // dispatch hands changes to the parts that they belong to.
-func (f *Follower) dispatch(items []store.Item, now time.Time) {
+func (f *Follower) dispatch(items []store.Item, now, lapsedUntil time.Time) {
 	for _, p := range f.Parts {
 		var own []store.Item
 		for _, item := range items {
@@ -135,7 +156,7 @@
 			}
 		}
 		if len(own) > 0 {
-			p.Handler.Change(own, now, f.lapsedUntil(now))
+			p.Handler.Change(own, now, lapsedUntil)
 		}
 	}
 }
@@ -155,6 +176,7 @@
 	}
 	now := time.Now()
 	f.succeeded(now)
+	f.readAt, f.changed = now, false
 	f.revision = oldest
 	for i, p := range f.Parts {
 		p.Handler.Resync(lists[i], now, f.lapsedUntil(now))
@@ -170,19 +192,20 @@
 	return until
 }
 
+// Away reports whether the store does not answer. It is safe for concurrent use.
+func (f *Follower) Away() bool { return f.away.Load() }
+
 func (f *Follower) failed(err error) {
-	if f.away {
+	if f.away.Swap(true) {
 		return
 	}
-	f.away = true
 	f.Log.WithFields(logrus.Fields{"event": "store_lost", "revision": f.revision}).WithError(err).Warn("the store does not answer; going on with what is known")
 }
 
 func (f *Follower) succeeded(now time.Time) {
-	if !f.away {
+	if !f.away.Swap(false) {
 		return
 	}
-	f.away = false
 	f.returned = now
 	f.Log.WithFields(logrus.Fields{"event": "store_regained"}).Info("the store answers again")
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,18 +43,23 @@
 	// Listen is the address of the datagrams.
 	Listen string
 	Name   string
+	// Zone is the instance's availability zone.
+	Zone string
 	// Collect returns the message to send, full or without what only few need.
 	Collect func(full bool) *pb.InstanceState
 	// Full reports whether an instance gets the full message.
 	Full func(name string) bool
 	// Apply takes a message of another instance.
 	Apply func(state *pb.InstanceState, now time.Time)
-	Log   *logrus.Entry
+	// ApplyChanges takes what another instance of the zone read of the store.
+	ApplyChanges func(changes *pb.StoreChanges, now time.Time)
+	Log          *logrus.Entry
 }
 
 // Exchange sends and receives states. It is safe for concurrent use.
 type Exchange struct {
 	options Options
+	conn    atomic.Pointer[net.UDPConn]
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -61,12 +67,15 @@
 
 type peer struct {
 	address  *net.UDPAddr
+	zone     string
 	member   bool
 	heard    time.Time
 	sequence uint64
 	// incarnation is the start of the process that was heard last.
 	incarnation uint64
 	silent      bool
+	// fit is set while the instance reaches the store and does not stop.
+	fit bool
 }
 
 // New returns an Exchange.
@@ -101,7 +110,7 @@
 		p = &peer{heard: time.Now()}
 		e.peers[m.GetName()] = p
 	}
-	p.address = address
+	p.address, p.zone = address, m.GetZone()
 	return p
 }
 
@@ -144,6 +153,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	e.conn.Store(conn)
 	var wg conc.WaitGroup
 	wg.Go(func() { e.send(ctx, conn) })
 	e.receive(ctx, conn)
@@ -170,7 +180,7 @@
 	for _, t := range targets {
 		full := everyone || e.options.Full(t.name)
 		if encoded[full] == nil {
-			data, err := proto.Marshal(e.options.Collect(full))
+			data, err := proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_State{State: e.options.Collect(full)}})
 			if err != nil {
 				e.options.Log.WithError(err).Error("state of this instance cannot be encoded")
 				return
@@ -221,13 +231,30 @@
 			time.Sleep(minInterval)
 			continue
 		}
-		var state pb.InstanceState
-		if err := proto.Unmarshal(buffer[:n], &state); err != nil || state.GetFrom().GetName() == "" {
+		e.read(buffer[:n], time.Now())
+	}
+}
+
+// read hands on what a datagram holds.
+func (e *Exchange) read(datagram []byte, now time.Time) {
+	var message pb.PeerMessage
+	if err := proto.Unmarshal(datagram, &message); err != nil {
+		invalidTotal.Inc()
+		return
+	}
+	switch body := message.GetBody().(type) {
+	case *pb.PeerMessage_State:
+		if body.State.GetFrom().GetName() == "" {
 			invalidTotal.Inc()
-			continue
+			return
 		}
 		receivedTotal.Inc()
-		e.take(&state, time.Now())
+		e.take(body.State, now)
+	case *pb.PeerMessage_Changes:
+		receivedTotal.Inc()
+		e.options.ApplyChanges(body.Changes, now)
+	default:
+		invalidTotal.Inc()
 	}
 }
 
@@ -254,5 +281,6 @@
 		e.options.Log.WithFields(logrus.Fields{"event": "peer_heard", "peer": from.GetName(), "incarnation": from.GetIncarnation()}).Info("instance is heard")
 	}
 	p.incarnation, p.sequence, p.heard, p.silent = from.GetIncarnation(), state.GetSequence(), now, false
+	p.fit = !state.GetLeaving() && !state.GetStoreAway()
 	return true
 }
