serve: runs are moved off servers that are taken back; retry budget by a sliding window

Change: a leaving reclaimable server, or one whose entry was removed, is asked once its report can know when it will be gone. 1.2 s before, the memory of the streams that run there is copied to the least loaded server, the run is stopped and goes on there after the last event that the caller has. Moves are taken from the retry budget. That was a bucket of the instance's share of the burst (1.5 at 83 instances), which denied moves that the rule allows: it now counts requests and repeats over the window itself.

Ruled out: moving at the notice (most answers end by themselves); the entry in the store as the source of the time (it never names one, the report does); asking at once (the report lags 200 ms).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	GracePeriod time.Duration
 	RetryRatio  float64
 	RetrySlack  float64
+	RetryWindow time.Duration
 	QuotaSlack  float64
 	UsageWindow time.Duration
 }
@@ -125,7 +126,7 @@
 	// quotaTolerance and budgetShare are the parts of the fleet's slack that are
 	// used; the rest covers what instances learn late of each other.
 	quotaTolerance = 0.15
-	budgetShare    = 0.6
+	budgetShare    = 0.7
 	// maintainInterval is the time between looks at servers and instances.
 	maintainInterval = 250 * time.Millisecond
 )
@@ -137,7 +138,7 @@
 		Options: o, keeper: newPictureKeeper(o.Log), board: forecast.NewBoard(),
 		ledger:  quota.New(quotaTolerance*o.Settings.QuotaSlack, now),
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
-		budget:      retry.NewPoolBudget(0, 0),
+		budget:      retry.NewPoolBudget(0, 0, retryWindow(o.Settings)),
 		demand:      demand.New(),
 		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
@@ -155,6 +156,16 @@
 	return i
 }
 
+// defaultRetryWindow is used where the settings name none.
+const defaultRetryWindow = 10 * time.Second
+
+func retryWindow(s Settings) time.Duration {
+	if s.RetryWindow <= 0 {
+		return defaultRetryWindow
+	}
+	return s.RetryWindow
+}
+
 // usageByClock counts requests by the corrected time of day.
 type usageByClock struct{ i *Instance }
 
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -49,6 +49,9 @@
 	if old != nil && !old.Lapsed() && older(&s, old) {
 		return
 	}
+	if old != nil && sameIncarnation(old, &s) && old.Sequence == s.Sequence && old.Lifecycle == s.Lifecycle {
+		s.ReportedAt = old.ReportedAt // the same report, read again
+	}
 	if old != nil && sameIncarnation(old, &s) {
 		s.Lifecycle = max(s.Lifecycle, old.Lifecycle)
 	}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -27,6 +27,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`kumquat_serve_attempts_failed_total{verdict=%q}`, verdict)).Inc()
 }
 
+// countMove counts a try to move a run to another server.
+func countMove(err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`kumquat_serve_moves_total{moved="%t"}`, err == nil)).Inc()
+}
+
 // countServed counts a request that was answered.
 func (r *run) countServed(err error) {
 	if err != nil {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -56,18 +56,24 @@
 	begun bool
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
+	// handle names the memory that the next attempt goes on with.
+	handle Handle
 }
 
 func (r *run) serve() error {
 	r.lastEvent = r.req.LastEvent
 	r.pool = r.req.Route.PickPool(seed())
-	r.server.Budget.Request(r.pool)
+	r.server.Budget.Request(r.pool, time.Now())
 	for {
 		choice, err := r.choose()
 		if err != nil {
 			return r.giveUp(err)
 		}
 		done, err := r.attempt(choice)
+		for moved := (*errMoved)(nil); errors.As(err, &moved); {
+			choice = r.continuation(moved)
+			done, err = r.attempt(choice)
+		}
 		if done {
 			r.logServed(choice, err)
 			return err
@@ -76,10 +82,19 @@
 		if !r.mayRetry(err) {
 			return r.giveUp(err)
 		}
+		r.handle = Handle{}
 		r.exclude = append(r.exclude, choice.server.ID)
 	}
 }
 
+// continuation is the attempt at the server that a run was moved to.
+func (r *run) continuation(moved *errMoved) candidate {
+	r.handle = moved.handle
+	c := candidate{server: moved.to, estimate: forecast.Estimate{Cached: r.req.Prompt.Tokens}}
+	r.considered = c
+	return c
+}
+
 // choose picks a server or refuses the request.
 func (r *run) choose() (candidate, error) {
 	s := r.server
@@ -134,7 +149,7 @@
 		r.granted = false
 		return true
 	}
-	return r.attempts < max(r.req.Route.MaxAttempts, 1) && r.server.Budget.Take(r.pool)
+	return r.attempts < max(r.req.Route.MaxAttempts, 1) && r.server.Budget.Take(r.pool, time.Now())
 }
 
 // giveUp ends the request without a whole answer.
@@ -191,7 +206,7 @@
 	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer job.Done()
 	answer, err := s.Backend.Send(ctx, &Attempt{
-		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline,
+		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 	})
 	if err != nil {
 		return false, r.unanswered(c.server, err)
@@ -310,7 +325,7 @@
 	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || !r.hasOther() {
 		return false
 	}
-	r.granted = r.server.Budget.Take(r.pool)
+	r.granted = r.server.Budget.Take(r.pool, time.Now())
 	return r.granted
 }
 
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -94,7 +94,7 @@
 	var list []*fleet.Server
 	for i := range servers {
 		list = append(list, &fleet.Server{
-			Server: machine.Server{ID: machine.ID(fmt.Sprintf("s%d", i)), Pool: "p", Zone: "z"}, Lifecycle: machine.Serving, Slots: 8,
+			Server: machine.Server{ID: machine.ID(fmt.Sprintf("s%d", i)), Pool: "p", Zone: "z", Reclaimable: true}, Lifecycle: machine.Serving, Slots: 8,
 		})
 	}
 	picture := &fleet.Picture{
@@ -106,7 +106,7 @@
 	f := &fixture{backend: &fakeBackend{script: script}, quotas: &unlimited{}, usage: &usageCount{}}
 	f.Server = New(Options{
 		Zone: "z", Picture: func() *fleet.Picture { return picture }, Instances: func() int { return 7 }, Backend: f.backend, Quotas: f.quotas, Usage: f.usage,
-		Board: forecast.NewBoard(), Budget: retry.NewPoolBudget(0.2, 10), Demand: demand.New(), Log: logrus.NewEntry(log),
+		Board: forecast.NewBoard(), Budget: retry.NewPoolBudget(0.2, 10, 10*time.Second), Demand: demand.New(), Log: logrus.NewEntry(log),
 	})
 	return f
 }
@@ -223,7 +223,7 @@
 		a.Status = http.StatusInternalServerError
 		return a, nil
 	})
-	f.Budget = retry.NewPoolBudget(0, 0)
+	f.Budget = retry.NewPoolBudget(0, 0, 10*time.Second)
 	c := &fakeCaller{}
 	if err := f.Serve(t.Context(), request(repeats), c); err != nil || c.status != http.StatusInternalServerError {
 		t.Errorf("status %d, error %v, want the server's 500", c.status, err)
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -52,6 +52,7 @@
 type Server struct {
 	Options
 	running atomic.Int64
+	streams *streams
 
 	mu       sync.Mutex
 	outliers *outlier.Detector
@@ -67,7 +68,7 @@
 
 // New returns a Server.
 func New(o Options) *Server {
-	return &Server{Options: o, outliers: outlier.New(ejection)}
+	return &Server{Options: o, streams: newStreams(), outliers: outlier.New(ejection)}
 }
 
 // Running returns the number of requests that are being served.
@@ -163,21 +164,22 @@
 		return
 	}
 	var members []outlier.Member
-	known := make(map[machine.ID]bool)
+	known := make(map[machine.ID]machine.Lifecycle)
 	for _, servers := range p.Servers {
 		for _, server := range servers {
-			known[server.ID] = true
+			known[server.ID] = server.Lifecycle
 			members = append(members, outlier.Member{ID: server.ID, Zone: "", Pool: server.Pool})
 		}
 	}
+	s.evacuate(known)
 	s.mu.Lock()
 	ejected := s.outliers.Update(now, members)
 	s.mu.Unlock()
 	s.logEjections(ejected)
 	s.ejected.Store(&ejected)
-	s.Board.Forget(func(id machine.ID) bool { return known[id] })
+	s.Board.Forget(func(id machine.ID) bool { _, ok := known[id]; return ok })
 	s.suspects.Range(func(id, _ any) bool {
-		if !known[id.(machine.ID)] {
+		if _, ok := known[id.(machine.ID)]; !ok {
 			s.suspects.Delete(id)
 		}
 		return true
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -93,6 +93,7 @@
 	}
 	a.Length = -1
 	events := newEventReader(a.Body)
+	listed := false
 	for {
 		part, err := events.next()
 		if len(part) > 0 {
@@ -102,6 +103,16 @@
 				return true, err
 			}
 		}
+		if err == nil && !listed {
+			listed = true
+			r.server.streams.add(server, r)
+			defer r.server.streams.remove(server.ID, r)
+		}
+		if err != nil {
+			if moved := r.server.streams.remove(server.ID, r).outcome(); moved != nil {
+				return false, moved
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			r.server.observe(server.ID, false)
 			return true, r.begin(a)
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -68,6 +68,9 @@
 	After string
 	// Deadline is when the server may stop its work; zero is never.
 	Deadline time.Time
+	// Continue names the memory of the stopped run that the attempt goes on with;
+	// its ID is empty for one that starts anew.
+	Continue Handle
 }
 
 // Answer is a server's answer to an attempt.
