--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -91,7 +91,11 @@
 	if f.revision == 0 || f.role() != Fed {
 		return false
 	}
-	silence := time.NewTimer(time.Until(f.readAt.Add(feedSilence)))
+	patience := time.Until(f.readAt.Add(feedSilence))
+	if f.behind {
+		patience = 0
+	}
+	silence := time.NewTimer(patience)
 	defer silence.Stop()
 	select {
 	case <-ctx.Done():
@@ -112,11 +116,13 @@
 func (f *Follower) take(ctx context.Context, b Batch) bool {
 	if b.After > f.revision {
 		f.Log.WithFields(logrus.Fields{"event": "feed_gap", "revision": f.revision, "after": b.After}).Debug("changes were missed; reading them from the store")
+		f.behind = true
 		return false
 	}
 	items, err := f.news(ctx, b)
 	if err != nil {
 		f.Log.WithError(err).WithFields(logrus.Fields{"event": "feed_incomplete", "revision": f.revision}).Info("a value is missing; reading the changes from the store")
+		f.behind = true
 		return false
 	}
 	now := time.Now()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -65,6 +65,8 @@
 	// readAt is when the store last answered this instance or the one that
 	// reads for it.
 	readAt time.Time
+	// behind is set while changes are known to be missing here.
+	behind bool
 	// changed is set when the last call told of changes.
 	changed bool
 	// away is set while the store does not answer, returned when it did again.
@@ -123,7 +125,7 @@
 	}
 	now := time.Now()
 	f.succeeded(now)
-	f.readAt = now
+	f.readAt, f.behind = now, false
 	f.publish(f.revision, revision, items, now)
 	f.revision = revision
 	f.changed = len(items) > 0
@@ -176,7 +178,7 @@
 	}
 	now := time.Now()
 	f.succeeded(now)
-	f.readAt, f.changed = now, false
+	f.readAt, f.behind, f.changed = now, false, false
 	f.revision = oldest
 	for i, p := range f.Parts {
 		p.Handler.Resync(lists[i], now, f.lapsedUntil(now))
