clock, peers, quota: uncorrected times are told; the zone's instances hear each other more often

Change: instances of the zone are sent to every 10 ms x their number, others every 12 ms x theirs; an instance is silent after 2.5 intervals.

They tell the uncorrected time now.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -43,6 +43,10 @@
 	return c.steady(now).Add(c.offset)
 }
 
+// Tell returns the time to tell the other instances: the uncorrected one. If
+// corrected times were told, each message's delay would set all clocks back anew.
+func (c *Clock) Tell(now time.Time) time.Time { return c.steady(now) }
+
 // steady is the time of day by the monotonic clock alone.
 func (c *Clock) steady(now time.Time) time.Time {
 	return c.start.Round(0).Add(now.Sub(c.start))
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -47,3 +47,33 @@
 		t.Errorf("the clock is off by %v", got)
 	}
 }
+
+// Instances tell each other their time for minutes, and each message takes a
+// few milliseconds: the delays do not add up.
+func TestMessagesDoNotSlowTheClocks(t *testing.T) {
+	const instances, delay, interval = 7, 5 * time.Millisecond, 150 * time.Millisecond
+	clocks := make([]*Clock, instances)
+	for i := range clocks {
+		clocks[i] = New(now)
+	}
+	at := now
+	for range 800 {
+		at = at.Add(interval)
+		told := make([]time.Time, instances)
+		for i, c := range clocks {
+			told[i] = c.Tell(at)
+		}
+		for i, c := range clocks {
+			for j := range clocks {
+				if i != j {
+					c.Heard(string(rune('a'+j)), told[j], at.Add(delay))
+				}
+			}
+		}
+	}
+	for i, c := range clocks {
+		if got := c.Now(at).Sub(at.Round(0)).Abs(); got > 50*time.Millisecond {
+			t.Errorf("after 2 minutes clock %d is off by %v", i, got)
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -317,6 +317,7 @@
 		return
 	}
 	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": before, "now": n}).Info("number of instances changed")
-	i.ledger.SetInstances(n)
+	_, far := i.exchange.Intervals()
+	i.ledger.SetInstances(n, far)
 	i.budget.Set(budgetShare*i.Settings.RetryRatio, budgetShare*i.Settings.RetrySlack/float64(n))
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -29,7 +29,7 @@
 func (i *Instance) state(holder bool) *pb.InstanceState {
 	sequence := i.sequence.Add(1)
 	m := &pb.InstanceState{
-		From: i.self(), Sequence: sequence, UnixMs: i.now().UnixMilli(), Leaving: i.stopping.Load(),
+		From: i.self(), Sequence: sequence, UnixMs: i.clock.Tell(time.Now()).UnixMilli(), Leaving: i.stopping.Load(),
 		HoldsDuties: i.holding.Load(), StoreAway: i.follower.Away(),
 	}
 	if p := i.keeper.Load(); p != nil {
@@ -91,9 +91,13 @@
 	i.demand.Heard(name, rates, now)
 }
 
-// holderSilence is the silence of the holder of the duties after which this
-// instance tries to take them.
-const holderSilence = 1200 * time.Millisecond
+const (
+	// minHolderSilence is the least silence of the holder of the duties after which
+	// this instance tries to take them, and holderSilenceIntervals the number of
+	// its messages that may be missed before.
+	minHolderSilence       = 1200 * time.Millisecond
+	holderSilenceIntervals = 2
+)
 
 // toHolder reports whether an instance gets what the duties are done by: their
 // holder, and all while none is heard.
@@ -104,7 +108,8 @@
 
 // mayTakeDuties reports whether no other instance is heard to hold the duties.
 func (i *Instance) mayTakeDuties() bool {
-	return time.Since(time.Unix(0, i.holderHeard.Load())) > holderSilence
+	_, far := i.exchange.Intervals()
+	return time.Since(time.Unix(0, i.holderHeard.Load())) > max(minHolderSilence, holderSilenceIntervals*far)
 }
 
 // register keeps this instance's entry in the store until the stop begins.
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -64,7 +64,7 @@
 
 const (
 	// staleWork is the age after which another instance's report is forgotten.
-	staleWork = 2 * time.Second
+	staleWork = 3 * time.Second
 )
 
 // Board holds the work at the engines. It is safe for concurrent use.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -20,10 +20,12 @@
 
 const (
 	// minInterval is the time between messages to the same instance while there
-	// are few; it grows with their number, so that an instance's traffic is bounded.
+	// are few. It grows with the number of instances in the zone, and in the other
+	// zones, so that an instance's traffic is bounded.
 	minInterval     = 150 * time.Millisecond
-	intervalPerPeer = 12 * time.Millisecond
-	// fullEvery is the number of rounds of which one sends all instances the full message.
+	intervalPerNear = 10 * time.Millisecond
+	intervalPerFar  = 12 * time.Millisecond
+	// fullEvery is the number of messages to an instance of which one is full.
 	fullEvery = 8
 	// aliveFor is the silence after which an instance counts as unheard.
 	aliveFor = 2 * time.Second
@@ -70,6 +72,9 @@
 	zone     string
 	member   bool
 	heard    time.Time
+	// sent is when the last message was sent, and sends their number.
+	sent  time.Time
+	sends int
 	sequence uint64
 	// incarnation is the start of the process that was heard last.
 	incarnation uint64
@@ -162,23 +167,42 @@
 }
 
 func (e *Exchange) send(ctx context.Context, conn *net.UDPConn) {
-	for round := 0; ; round++ {
-		targets := e.targets(time.Now())
-		interval := max(minInterval, time.Duration(len(targets))*intervalPerPeer)
+	for {
+		near, _ := e.Intervals()
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(interval):
+		case <-time.After(near):
+		}
+		e.sendTo(conn, e.targets(time.Now()))
+	}
+}
+
+// Intervals returns the time between messages to the same instance of the zone,
+// and to the same instance of another zone.
+func (e *Exchange) Intervals() (near, far time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.intervals()
+}
+
+func (e *Exchange) intervals() (near, far time.Duration) {
+	zone := 0
+	for _, p := range e.peers {
+		if p.zone == e.options.Zone {
+			zone++
 		}
-		e.sendTo(conn, targets, round%fullEvery == 0)
 	}
+	near = max(minInterval, time.Duration(zone)*intervalPerNear)
+	far = max(minInterval, time.Duration(len(e.peers)-zone)*intervalPerFar)
+	return near, far
 }
 
 // sendTo sends the state to all targets; it is encoded at most twice.
-func (e *Exchange) sendTo(conn *net.UDPConn, targets []target, everyone bool) {
+func (e *Exchange) sendTo(conn *net.UDPConn, targets []target) {
 	encoded := make(map[bool][]byte, 2)
 	for _, t := range targets {
-		full := everyone || e.options.Full(t.name)
+		full := t.full || e.options.Full(t.name)
 		if encoded[full] == nil {
 			data, err := proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_State{State: e.options.Collect(full)}})
 			if err != nil {
@@ -198,12 +222,15 @@
 type target struct {
 	name    string
 	address *net.UDPAddr
+	// full is set when the full message is due.
+	full bool
 }
 
-// targets returns the addresses to send to, and notes instances that fell silent.
+// targets returns the instances to send to now, and notes those that fell silent.
 func (e *Exchange) targets(now time.Time) []target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	near, far := e.intervals()
 	list := make([]target, 0, len(e.peers))
 	for name, p := range e.peers {
 		if !p.member && now.Sub(p.heard) > rememberFor {
@@ -214,7 +241,12 @@
 			p.silent = true
 			e.options.Log.WithFields(logrus.Fields{"event": "peer_lost", "peer": name, "member": p.member}).Info("instance is not heard")
 		}
-		list = append(list, target{name: name, address: p.address})
+		if p.zone != e.options.Zone && now.Sub(p.sent) < far-near/2 {
+			continue
+		}
+		list = append(list, target{name: name, address: p.address, full: p.sends%fullEvery == 0})
+		p.sent = now
+		p.sends++
 	}
 	return list
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,9 +13,9 @@
 	"kumquatyard/internal/fleet"
 )
 
-// SilentAfter is the time without a report after which an instance's fair
+// minSilence is the least time without a report after which an instance's fair
 // share is set aside.
-const SilentAfter = time.Second
+const minSilence = time.Second
 
 // Ledger holds the buckets of all workspaces. It is safe for concurrent use.
 type Ledger struct {
@@ -26,6 +26,9 @@
 	// tolerance is how far a bucket may be overdrawn.
 	tolerance float64
 	instances int
+	// silence is the time without a report after which an instance's fair share
+	// is set aside.
+	silence time.Duration
 	buckets   map[string]*bucket
 	own       map[string]float64
 	others    map[string]*other
@@ -60,24 +63,30 @@
 // tolerance.
 func New(tolerance float64, began time.Time) *Ledger {
 	return &Ledger{
-		began: began, tolerance: tolerance, instances: assumedInstances,
+		began: began, tolerance: tolerance, instances: assumedInstances, silence: minSilence,
 		buckets: make(map[string]*bucket), own: make(map[string]float64), others: make(map[string]*other),
 	}
 }
 
-// SetInstances sets the number of instances that share the quotas.
-func (l *Ledger) SetInstances(n int) {
+// SetInstances sets the number of instances that share the quotas, and the
+// longest time between the reports of one of them.
+func (l *Ledger) SetInstances(n int, interval time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.instances = max(n, 1)
+	l.silence = max(minSilence, time.Duration(missedReports*float64(interval)))
 }
 
+// missedReports is the number of reports that an instance may miss before it
+// counts as silent, and a part of one.
+const missedReports = 5 / 2.0
+
 // share is the part of a quota that this instance may hand out: all of it but
 // the fair shares of the instances that it does not hear.
 func (l *Ledger) share(now time.Time) float64 {
 	heard := 1
 	for _, o := range l.others {
-		if now.Sub(o.heard) < SilentAfter {
+		if now.Sub(o.heard) < l.silence {
 			heard++
 		}
 	}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -100,7 +100,7 @@
 			r.Log.WithFields(logrus.Fields{"event": "usage_delayed", "window": r.next}).WithError(err).Info("the report is tried again")
 			return nil
 		}
-		r.Log.WithFields(logrus.Fields{"event": "usage_reported", "window": r.next, "fence": fence, "workspaces": len(counts)}).Info("usage reported")
+		r.Log.WithFields(logrus.Fields{"event": "usage_reported", "window": r.next, "fence": fence, "workspaces": len(counts), "requests": counts.sum()}).Info("usage reported")
 		r.next++
 	}
 }
@@ -129,6 +129,15 @@
 	return counts, nil
 }
 
+// sum is the number of requests of all workspaces.
+func (c Counts) sum() int64 {
+	total := int64(0)
+	for _, n := range c {
+		total += n
+	}
+	return total
+}
+
 func decodeReport(value []byte) (Counts, error) {
 	var report pb.UsageReport
 	if err := proto.Unmarshal(value, &report); err != nil {
