peers: changes of the store are sent compressed and bounded by the link

Change: batches are S2 blocks; one that would take more than 128 KB over all instances of the zone only tells that there are changes, and each reads them.

--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -11,8 +11,8 @@
 const (
 	// maxFedValue and maxFedBytes bound what is sent along in one datagram; what
 	// is larger is read from the store by each instance.
-	maxFedValue = 8 << 10
-	maxFedBytes = 32 << 10
+	maxFedValue = 48 << 10
+	maxFedBytes = 48 << 10
 	// feedBuffer is the number of batches that may wait for the follower; a full
 	// buffer is like a lost datagram.
 	feedBuffer = 32
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -68,13 +68,13 @@
 }
 
 type peer struct {
-	address  *net.UDPAddr
-	zone     string
-	member   bool
-	heard    time.Time
+	address *net.UDPAddr
+	zone    string
+	member  bool
+	heard   time.Time
 	// sent is when the last message was sent, and sends their number.
-	sent  time.Time
-	sends int
+	sent     time.Time
+	sends    int
 	sequence uint64
 	// incarnation is the start of the process that was heard last.
 	incarnation uint64
@@ -283,8 +283,13 @@
 		receivedTotal.Inc()
 		e.take(body.State, now)
 	case *pb.PeerMessage_Changes:
+		changes, err := decompress(body.Changes)
+		if err != nil {
+			invalidTotal.Inc()
+			return
+		}
 		receivedTotal.Inc()
-		e.options.ApplyChanges(body.Changes, now)
+		e.options.ApplyChanges(changes, now)
 	default:
 		invalidTotal.Inc()
 	}
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -1,9 +1,11 @@
 package peers
 
 import (
+	"errors"
 	"net"
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 
 	pb "kumquatyard/proto/kumquat/v1"
@@ -36,18 +38,32 @@
 	return first
 }
 
+const (
+	// maxFeedBytes bounds what one batch of changes takes of the link, over all
+	// instances of the zone: a tenth of a second at 10 Mbit/s. A larger one is
+	// read from the store by each instance.
+	maxFeedBytes = 128 << 10
+	// maxChangesBytes bounds changes after decompression.
+	maxChangesBytes = 256 << 10
+)
+
 // SendChanges passes changes of the store on to the instances of the zone.
 func (e *Exchange) SendChanges(changes *pb.StoreChanges) {
 	conn := e.conn.Load()
-	if conn == nil {
+	neighbours := e.neighbours()
+	if conn == nil || len(neighbours) == 0 {
 		return
 	}
-	data, err := proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: changes}})
+	data, err := compress(changes)
+	if err == nil && len(data)*len(neighbours) > maxFeedBytes {
+		changes.After, changes.Items = changes.GetRevision(), nil
+		data, err = compress(changes)
+	}
 	if err != nil {
 		e.options.Log.WithError(err).Error("changes of the store cannot be encoded")
 		return
 	}
-	for _, address := range e.neighbours() {
+	for _, address := range neighbours {
 		// A datagram that cannot be sent is like one that is lost.
 		if _, err := conn.WriteToUDP(data, address); err == nil {
 			sentTotal.Inc()
@@ -55,6 +71,33 @@
 	}
 }
 
+// compress returns the datagram of changes.
+func compress(changes *pb.StoreChanges) ([]byte, error) {
+	data, err := proto.Marshal(changes)
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: s2.EncodeBetter(nil, data)}})
+}
+
+var errTooLarge = errors.New("the changes are too large")
+
+func decompress(block []byte) (*pb.StoreChanges, error) {
+	length, err := s2.DecodedLen(block)
+	if err != nil {
+		return nil, err
+	}
+	if length > maxChangesBytes {
+		return nil, errTooLarge
+	}
+	data, err := s2.Decode(nil, block)
+	if err != nil {
+		return nil, err
+	}
+	var changes pb.StoreChanges
+	return &changes, proto.Unmarshal(data, &changes)
+}
+
 // neighbours returns the addresses of the zone's other instances.
 func (e *Exchange) neighbours() []*net.UDPAddr {
 	e.mu.Lock()
--- a/internal/peers/zone_test.go
+++ b/internal/peers/zone_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 
 	pb "kumquatyard/proto/kumquat/v1"
@@ -98,7 +101,7 @@
 func FuzzRead(f *testing.F) {
 	for _, m := range []*pb.PeerMessage{
 		{Body: &pb.PeerMessage_State{State: &pb.InstanceState{From: &pb.Instance{Name: "b", Address: "127.0.0.1:9"}, Sequence: 1}}},
-		{Body: &pb.PeerMessage_Changes{Changes: &pb.StoreChanges{From: "b", After: 1, Revision: 2, Items: []*pb.StoreItem{{Key: "k"}}}}},
+		{Body: &pb.PeerMessage_Changes{Changes: s2.Encode(nil, []byte{10, 1, 98, 16, 1, 24, 2})}},
 		{},
 	} {
 		data, err := proto.Marshal(m)
@@ -113,3 +116,70 @@
 		i.read(datagram, time.Now())
 	})
 }
+
+// A thousand servers write their entries at once: the entries are much alike and
+// are sent compressed, and what would still fill the link is left to each
+// instance to read.
+func TestLargeBatchesDoNotFillTheLink(t *testing.T) {
+	entry := func(n int) *pb.StoreItem {
+		return &pb.StoreItem{
+			Key:      fmt.Sprintf("servers/i-%08x", n*2654435761),
+			Value:    fmt.Appendf(nil, `{"service":"vohu25a","addr":"10.3.%d.%d:8323","zone":"z","version":"v1","slots":64,"state":"ready","seq":%d}`, n/250, n%250, n),
+			Revision: uint64(n),
+		}
+	}
+	size := func(entries int) int {
+		m := &pb.StoreChanges{From: "a", After: 1, Revision: uint64(entries)}
+		for n := range entries {
+			m.Items = append(m.Items, entry(n))
+		}
+		data, err := compress(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	if got := size(18) * 33; got > maxFeedBytes/2 {
+		t.Errorf("18 entries to 33 instances are %d bytes, want half of the bound at most", got)
+	}
+	if got := size(1000) * 33; got < maxFeedBytes {
+		t.Errorf("1000 entries to 33 instances are %d bytes: the test of the bound is void", got)
+	}
+	a, b := newInstance(t, "a"), newInstance(t, "b")
+	a.options.Zone, b.options.Zone = "z", "z"
+	got := make(chan *pb.StoreChanges, 1)
+	b.options.ApplyChanges = func(changes *pb.StoreChanges, _ time.Time) {
+		select {
+		case got <- changes:
+		default:
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, i := range []*instance{a, b} {
+		wg.Go(func() {
+			if err := i.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	a.SetMembers([]*pb.Instance{{Name: "b", Zone: "z", Address: b.address}})
+	large := &pb.StoreChanges{From: "a", After: 1, Revision: 9, Items: []*pb.StoreItem{{Key: "k", Value: make([]byte, maxFeedBytes*2)}}}
+	random := rand.New(rand.NewPCG(1, 1))
+	for n := range large.Items[0].Value {
+		large.Items[0].Value[n] = byte(random.Uint32())
+	}
+	var changes *pb.StoreChanges
+	for deadline := time.Now().Add(5 * time.Second); changes == nil && time.Now().Before(deadline); {
+		a.SendChanges(proto.Clone(large).(*pb.StoreChanges))
+		select {
+		case changes = <-got:
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	cancel()
+	wg.Wait()
+	if changes.GetAfter() != 9 || changes.GetRevision() != 9 || len(changes.GetItems()) != 0 {
+		t.Errorf("a batch that is too large arrived as %v, want none of its changes and a gap", changes)
+	}
+}
