usage: counts are stored each second; autoscale: reclaims are noticed by what leaves below the order

Change: the holder of the duty stores the counts of unreported windows, by incarnation, each second; a new holder reads them first.

The simulated cloud of the tests told the time, so no test saw it: it does not any more (TestReclaimsRightAfterAnOrder, red before: 3.5 s short). Change: reclaimable servers that leave while fewer are there than were ordered count as a refusal.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -102,7 +102,7 @@
 			defer d.Holding(false)
 			scaler := &autoscale.Runner{Destination: calls, Picture: d.Picture, Board: d.Board, Demand: d.Demand, Log: log}
 			reporter := &usage.Reporter{
-				Counter: d.Usage, Store: client, Destination: calls, Due: s.UsageDue, Settled: d.AllHeard, Now: d.Now, Log: log,
+				Counter: d.Usage, Store: client, Destination: calls, Due: s.UsageDue, Settled: d.AllHeard, Now: d.Now, Log: log, Self: d.Incarnation,
 			}
 			var jobs []func(context.Context, uint64, func() error) error
 			if s.ReportsUsage {
--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -96,7 +96,7 @@
 	// first is the largest number of servers seen before the load was known.
 	first   int
 	firstAt time.Time
-	// noted are the servers whose reclaim was taken notice of; a holder of the duty
+	// noted are the servers whose leaving was taken notice of; a holder of the duty
 	// sees few enough of them to keep all.
 	noted map[machine.ID]bool
 }
@@ -150,7 +150,7 @@
 	if !in.Load.Known && s.growing(in, &have) {
 		return nil
 	}
-	s.noteReclaims(in)
+	s.noteReclaims(in, &have)
 	need := s.need(in)
 	wished := s.cheapest(in, &have, need, func(key lotKey) int { return s.available(in, &have, key) })
 	sure := s.cheapest(in, &have, need, func(key lotKey) int {
@@ -169,16 +169,17 @@
 	return s.orders(in, &have, target)
 }
 
-// noteReclaims takes the notice that a zone's reclaimable servers are taken back
-// as a refusal: no others are to be had there for now.
-func (s *Scaler) noteReclaims(in Input) {
+// noteReclaims takes it as a refusal that reclaimable servers of a zone leave of
+// which fewer are there than were ordered: they are taken back, and no others
+// are to be had there for now.
+func (s *Scaler) noteReclaims(in Input, have *census) {
 	for _, server := range in.Servers {
-		if !server.Reclaimable || server.Lifecycle != machine.Leaving || server.LeavesIn <= 0 {
+		if !server.Reclaimable || server.Lifecycle != machine.Leaving || s.noted[server.ID] {
 			continue
 		}
-		l := s.lot(lotKey{server.Zone, true})
-		if !s.noted[server.ID] {
-			s.noted[server.ID] = true
+		s.noted[server.ID] = true
+		key := lotKey{server.Zone, true}
+		if l := s.lot(key); have.present[key] < l.ordered {
 			l.refusedAt = in.Now
 		}
 	}
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -30,7 +30,6 @@
 	reclaimable bool
 	readyAt     time.Time
 	goneAt      time.Time
-	reclaimed   bool
 }
 
 func (c *cloud) apply(o Order) Outcome {
@@ -56,7 +55,7 @@
 func (c *cloud) reclaim(zone string, dry time.Duration) {
 	for _, s := range c.servers {
 		if s.zone == zone && s.reclaimable && s.goneAt.IsZero() {
-			s.goneAt, s.reclaimed = c.now.Add(2500*time.Millisecond), true
+			s.goneAt = c.now.Add(2500 * time.Millisecond)
 		}
 	}
 	c.dryTill = c.now.Add(dry)
@@ -69,16 +68,13 @@
 			continue
 		}
 		capacity++
-		state, leaves := machine.Serving, time.Duration(0)
+		state := machine.Serving
 		if !s.goneAt.IsZero() {
 			state = machine.Leaving
-			if s.reclaimed {
-				leaves = s.goneAt.Sub(c.now)
-			}
 		}
 		reported = append(reported, &fleet.Server{
 			Server:    machine.Server{ID: machine.ID(fmt.Sprint(i)), Pool: "p", Zone: s.zone, Reclaimable: s.reclaimable},
-			Lifecycle: state, Slots: 64, LeavesIn: leaves,
+			Lifecycle: state, Slots: 64,
 		})
 	}
 	return reported, capacity
@@ -195,6 +191,27 @@
 	}
 }
 
+// Reclaims right after an order: the servers that the order asks for are not
+// waited for when they are taken back. The zones follow each other 3 s apart,
+// with a notice of a second.
+func TestReclaimsRightAfterAnOrder(t *testing.T) {
+	zones := map[time.Duration]string{20 * time.Second: "a", 23 * time.Second: "c", 26 * time.Second: "b"}
+	load := func(at time.Duration) float64 {
+		if at < 19500*time.Millisecond {
+			return 3 * rate
+		}
+		return 4 * rate
+	}
+	r := simulate(60*time.Second, load, func(c *cloud, at time.Duration) {
+		if zone, ok := zones[at]; ok {
+			c.reclaim(zone, 13*time.Second)
+		}
+	})
+	if limit := bootTime - 2500*time.Millisecond + step; r.short > limit {
+		t.Errorf("too few servers for %v, bound %v", r.short, limit)
+	}
+}
+
 // A step of the load by half is borne by what is kept in reserve for the loss
 // of a zone.
 func TestStepOfTheLoad(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -86,6 +86,8 @@
 	Picture func() *fleet.Picture
 	Now     func() time.Time
 	Demand  *demand.Meter
+	// Incarnation names this start of this instance in the counts of usage.
+	Incarnation string
 	// AllHeard reports whether all other instances were heard in the time ago.
 	AllHeard func(ago time.Duration) bool
 	// Candidate reports whether this instance should compete for the duties.
@@ -225,7 +227,9 @@
 }
 
 func (i *Instance) dutyContext() DutyContext {
-	return DutyContext{Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, AllHeard: i.exchange.AllHeard, Candidate: i.mayTakeDuties, Holding: i.holding.Store}
+	return DutyContext{
+		Incarnation: incarnationOf(i.self()), Usage: i.counter, Board: i.board, Picture: i.keeper.Load, Now: i.now, Demand: i.demand, AllHeard: i.exchange.AllHeard, Candidate: i.mayTakeDuties, Holding: i.holding.Store,
+	}
 }
 
 func (i *Instance) newFollower() *follow.Follower {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -55,10 +55,15 @@
 	return m
 }
 
+// incarnationOf names one start of an instance.
+func incarnationOf(m *pb.Instance) string {
+	return m.GetName() + "/" + time.UnixMilli(int64(m.GetIncarnation())).UTC().Format(time.RFC3339Nano)
+}
+
 // apply takes another instance's message.
 func (i *Instance) apply(m *pb.InstanceState, now time.Time) {
 	name := m.GetFrom().GetName()
-	incarnation := name + "/" + time.UnixMilli(int64(m.GetFrom().GetIncarnation())).UTC().Format(time.RFC3339Nano)
+	incarnation := incarnationOf(m.GetFrom())
 	if m.GetHoldsDuties() {
 		i.holderHeard.Store(now.UnixNano())
 		i.holder.Store(&name)
--- /dev/null
+++ b/internal/usage/checkpoint.go
@@ -0,0 +1,127 @@
+package usage
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/klauspost/compress/s2"
+	"google.golang.org/protobuf/proto"
+
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	checkpointKey = keyPrefix + "open"
+	// checkpointInterval is the time between two checkpoints: at most this much
+	// of the counts is lost when all instances end at once.
+	checkpointInterval = time.Second
+	// checkpointTimeout bounds one write, so that reports are not held up.
+	checkpointTimeout = 400 * time.Millisecond
+	// maxCheckpointBytes bounds a checkpoint after decompression.
+	maxCheckpointBytes = 8 << 20
+)
+
+var errCheckpointSize = errors.New("not a checkpoint's size")
+
+// checkpoint returns the counts of all incarnations from a window on.
+func (c *Counter) checkpoint(self string, from Window) *pb.UsageCheckpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	m := &pb.UsageCheckpoint{Instances: []*pb.InstanceUsage{instanceUsage(self, c.own, from)}}
+	for incarnation, windows := range c.others {
+		if u := instanceUsage(incarnation, windows, from); len(u.GetWindows()) > 0 {
+			m.Instances = append(m.Instances, u)
+		}
+	}
+	return m
+}
+
+func instanceUsage(incarnation string, windows map[Window]Counts, from Window) *pb.InstanceUsage {
+	u := &pb.InstanceUsage{Incarnation: incarnation}
+	for w, counts := range windows {
+		if w >= from && len(counts) > 0 {
+			u.Windows = append(u.Windows, &pb.UsageWindow{Window: int64(w), Counts: counts})
+		}
+	}
+	return u
+}
+
+// restore takes the counts that a former holder of the duty stored. Those of an
+// incarnation that is heard itself are the same or older, and change nothing.
+func (c *Counter) restore(self string, m *pb.UsageCheckpoint) {
+	for _, u := range m.GetInstances() {
+		if u.GetIncarnation() == self {
+			continue
+		}
+		windows := make(map[Window]Counts, len(u.GetWindows()))
+		for _, w := range u.GetWindows() {
+			windows[Window(w.GetWindow())] = w.GetCounts()
+		}
+		c.Heard(u.GetIncarnation(), windows)
+	}
+}
+
+// load restores the last checkpoint, once.
+func (r *Reporter) load(ctx context.Context) error {
+	if r.loaded {
+		return nil
+	}
+	item, err := r.Store.Item(ctx, checkpointKey)
+	if err != nil {
+		return err
+	}
+	r.loaded = true
+	if item.Revision == 0 {
+		return nil
+	}
+	m, err := decodeCheckpoint(item.Value)
+	if err != nil {
+		r.Log.WithError(err).WithField("event", "usage_checkpoint").Error("the stored counts cannot be read; what instances that ended have counted is lost")
+		return nil
+	}
+	r.Counter.restore(r.Self, m)
+	return nil
+}
+
+func decodeCheckpoint(value []byte) (*pb.UsageCheckpoint, error) {
+	if length, err := s2.DecodedLen(value); err != nil || length > maxCheckpointBytes {
+		return nil, fmt.Errorf("checkpoint of usage of %d bytes: %w", length, errors.Join(err, errCheckpointSize))
+	}
+	data, err := s2.Decode(nil, value)
+	if err != nil {
+		return nil, fmt.Errorf("checkpoint of usage: %w", err)
+	}
+	var m pb.UsageCheckpoint
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("checkpoint of usage: %w", err)
+	}
+	return &m, nil
+}
+
+// save stores the counts of the windows that are not reported yet, when they
+// have changed. A save that fails is made up for by the next.
+func (r *Reporter) save(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(r.savedAt) < checkpointInterval {
+		return
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(r.Counter.checkpoint(r.Self, r.next))
+	if err != nil {
+		r.Log.WithError(err).Error("counts of usage cannot be encoded")
+		return
+	}
+	if bytes.Equal(data, r.saved) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkpointTimeout)
+	defer cancel()
+	r.savedAt = now
+	if err := r.Store.Set(ctx, checkpointKey, s2.EncodeBetter(nil, data), 0); err != nil {
+		r.Log.WithError(err).WithField("event", "usage_checkpoint").Debug("counts not stored; the next time again")
+		return
+	}
+	r.saved = data
+}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -48,7 +48,15 @@
 	Now func() time.Time
 	Log *logrus.Entry
 
+	// Self names this incarnation of this instance as the others know it.
+	Self string
+
 	next Window
+	// loaded is set once the former holder's counts are restored.
+	loaded bool
+	// saved is the last checkpoint, encoded.
+	saved   []byte
+	savedAt time.Time
 }
 
 // Run reports until ctx is done. check fails once the duty may be another's.
@@ -67,9 +75,14 @@
 		if err := check(); err != nil {
 			return err
 		}
+		if err := r.load(ctx); err != nil {
+			r.Log.WithError(err).WithField("event", "usage_checkpoint").Info("the former holder's counts cannot be read yet")
+			continue
+		}
 		if err := r.reportDue(ctx, fence); err != nil {
 			return err
 		}
+		r.save(ctx)
 	}
 }
 
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -94,6 +94,11 @@
 	return s.revision, nil
 }
 
+func (s *fakeStore) Set(ctx context.Context, key string, value []byte, _ uint64) error {
+	_, err := s.Write(ctx, store.Put{Key: key, Value: value, Expect: s.items[key].Revision})
+	return err
+}
+
 func (s *fakeStore) Remove(context.Context, ...string) error { return nil }
 
 // destination keeps all reports that arrived.
@@ -230,6 +235,77 @@
 	}
 }
 
+// All instances are killed in a window: a new one that holds the duty reports
+// what the former holder had stored, and what began since.
+func TestCountsOutliveAllInstances(t *testing.T) {
+	f := newFixture()
+	before := New(length)
+	w := before.At(f.now)
+	before.Began("a", f.now)
+	before.Heard("other/1", map[Window]Counts{w: {"a": 3, "b": 2}})
+	former := f.reporter(before)
+	former.Self = "holder/1"
+	former.save(t.Context())
+
+	after := New(length)
+	after.Began("b", f.now)
+	r := f.reporter(after)
+	r.Self = "holder/2"
+	if err := r.load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	f.now = after.End(w).Add(settleTime)
+	if err := r.reportDue(t.Context(), 2); err != nil {
+		t.Fatal(err)
+	}
+	want := []Counts{{"a": 4, "b": 3}}
+	if diff := cmp.Diff(want, f.dest.reports[w]); diff != "" {
+		t.Errorf("reports (-want +got):\n%s", diff)
+	}
+}
+
+// Instances that live through a change of the holder are not counted twice,
+// whether they are heard before or after the checkpoint is read.
+func TestCheckpointCountsNothingTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		w := New(length).At(f.now)
+		former := f.reporter(New(length))
+		former.Self = "former/1"
+		truth := make(map[string]int64)
+		heard := make(map[string]int64)
+		for _, name := range []string{"x/1", "y/1", "z/1"} {
+			truth[name] = int64(rapid.IntRange(0, 9).Draw(t, "truth"))
+			heard[name] = rapid.Int64Range(0, truth[name]).Draw(t, "heard")
+			former.Counter.Heard(name, map[Window]Counts{w: {"a": heard[name]}})
+		}
+		former.save(context.Background())
+		r := f.reporter(New(length))
+		r.Self = "later/1"
+		tell := func(name string) { r.Counter.Heard(name, map[Window]Counts{w: {"a": truth[name]}}) }
+		tell("x/1")
+		if err := r.load(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		tell("y/1")
+		want := truth["x/1"] + truth["y/1"] + heard["z/1"]
+		if got := r.Counter.Total(w)["a"]; got != want {
+			t.Fatalf("total = %d, want %d", got, want)
+		}
+	})
+}
+
+// FuzzCheckpoint reads checkpoints of any content.
+func FuzzCheckpoint(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{4, 12, 10, 2, 10, 0})
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		if m, err := decodeCheckpoint(value); err == nil {
+			New(length).restore("self", m)
+		}
+	})
+}
+
 func TestFencedHolderStops(t *testing.T) {
 	f := newFixture()
 	f.dest.fenced = true
