--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,51 @@
+package soak
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	seedFlag      = flag.Uint64("soak.seed", 0, "seed of a long soak; 0 runs none")
+	durationFlag  = flag.Duration("soak.duration", 20*time.Second, "time of faults of a long soak")
+	seedsFlag     = flag.Uint64("soak.seeds", 1, "number of seeds of a long soak, from the first on")
+	instancesFlag = flag.Int("soak.instances", 5, "entry instances of a long soak")
+	callersFlag   = flag.Int("soak.callers", 24, "callers of a long soak")
+)
+
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "kumquatyard")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "kumquat-entry")
+	if out, err := exec.Command("go", "build", "-o", binary, "kumquatyard/cmd/kumquat-entry").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// TestShort is the soak of every build.
+func TestShort(t *testing.T) {
+	Run(t, Options{Seed: 1, Duration: 6 * time.Second, Instances: 3, Callers: 12, Binary: binary})
+}
+
+// TestLong runs the seeds of the flags; see make soak.
+func TestLong(t *testing.T) {
+	if *seedFlag == 0 {
+		t.Skip("no -soak.seed given")
+	}
+	for n := range *seedsFlag {
+		Run(t, Options{Seed: *seedFlag + n, Duration: *durationFlag, Instances: *instancesFlag, Callers: *callersFlag, Binary: binary})
+	}
+}
