--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 RAPID = $(shell go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}} {{end}}{{end}}' $(PACKAGES))
 PLAIN = $(filter-out $(RAPID),$(shell go list $(PACKAGES)))
 # Packages that run the binaries, whose changes the test cache does not see.
-PROCESSES = kumquatyard/test/atmostonce kumquatyard/test/configuration kumquatyard/test/reclaim kumquatyard/test/rolling
+PROCESSES = kumquatyard/test/atmostonce kumquatyard/test/configuration kumquatyard/test/reclaim kumquatyard/test/rolling kumquatyard/test/soak
 # Tests listed in KNOWN-RED.txt, passed over and printed.
 RED = $(shell grep -v '^\#' KNOWN-RED.txt | cut -f1 | paste -sd'|' -)
 SKIP = $(if $(RED),-skip '^($(RED))$$')
@@ -46,6 +46,12 @@
 prove:
 	SEED=$(SEED) DURATION=$(DURATION) go test ./test/atmostonce -run TestAtMostOnce -count=1 -v -timeout 2h
 
+# The fault soak: SEEDS seeds from SEED on, DURATION of faults each.
+SEEDS ?= 1
+.PHONY: soak
+soak:
+	go test ./test/soak -run TestLong -count=1 -v -timeout 2h -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.duration=$(or $(DURATION),20s)
+
 .PHONY: up
 up: build
 	@bash scripts/up.sh
