serve: reading a shared part again counts twice; autoscale: the plan's reserve is kept until its replacement serves

Change: a candidate's cost holds the time that the missing shared part takes to read once more (TestShortQueueAtTheHomeIsWaitedFor).

Change: servers are kept up to what the plan has with its reserve, where there is room (TestReserveIsKeptUntilItsReplacementServes, red before). Ruled out: keeping them where others would get no room (TestOrdersDoNotSwingAtTheLimit).

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -287,24 +287,39 @@
 }
 
 // keepUntilReplaced keeps servers that are to be given back until those in
-// their place serve.
+// their place serve: as many as the load needs, even where that leaves less room
+// for others, and up to what the plan has with its reserve where there is room.
 func (s *Scaler) keepUntilReplaced(in Input, have *census, target map[lotKey]int, need float64) {
-	serving := 0
-	for key, n := range have.present {
-		serving += min(n, target[key])
+	serving, planned := 0, 0
+	for key, n := range target {
+		serving += min(n, have.present[key])
+		planned += n
 	}
-	missing := int(math.Ceil(need)) - serving
+	missing := s.keep(in, have, target, int(math.Ceil(need))-serving, false)
+	if in.Load.Known {
+		s.keep(in, have, target, missing+planned-int(math.Ceil(need)), true)
+	}
+}
+
+// keep raises targets of servers that are there by up to missing servers in all,
+// and returns how many are still missing. sparing takes no room from others.
+func (s *Scaler) keep(in Input, have *census, target map[lotKey]int, missing int, sparing bool) int {
 	for _, reclaimable := range []bool{true, false} {
 		for zone := range in.Pool.Scaling.ZonePrices {
-			key := lotKey{zone, reclaimable}
-			keep := min(max(have.present[key], s.coming(in, key))-target[key], missing)
-			if keep <= 0 {
+			key, other := lotKey{zone, reclaimable}, lotKey{zone, !reclaimable}
+			kept := min(max(have.present[key], s.coming(in, key))-target[key], missing)
+			if sparing {
+				kept = min(kept, in.Pool.Scaling.Max-target[key]-target[other])
+			}
+			if kept <= 0 {
 				continue
 			}
-			target[key] += keep
-			missing -= keep
-			other := lotKey{zone, !reclaimable}
-			target[other] = min(target[other], max(in.Pool.Scaling.Max-target[key], have.present[other]))
+			target[key] += kept
+			missing -= kept
+			if !sparing {
+				target[other] = min(target[other], max(in.Pool.Scaling.Max-target[key], have.present[other]))
+			}
 		}
 	}
+	return missing
 }
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -305,3 +305,40 @@
 		}
 	}
 }
+
+// A new holder of the duty finds servers on demand in a dear zone while
+// reclaimable ones cannot be had: they are kept, with the reserve that the plan
+// wants, until those ordered in a cheaper zone serve.
+func TestReserveIsKeptUntilItsReplacementServes(t *testing.T) {
+	c := &cloud{now: start.Add(time.Minute), dryTill: start.Add(time.Hour)}
+	add := func(zone string, reclaimable bool, n int) {
+		for range n {
+			c.servers = append(c.servers, &simServer{zone: zone, reclaimable: reclaimable, readyAt: start})
+		}
+	}
+	add("a", false, 2)
+	add("b", true, 2)
+	add("b", false, 3)
+	scaler := New(DefaultSettings)
+	for range 12 {
+		reported, capacity := c.list()
+		if capacity < 7 {
+			t.Fatalf("%d servers are left %v after the new holder began, want all 7 until others serve", capacity, c.now.Sub(start.Add(time.Minute)))
+		}
+		in := Input{Pool: pool(), Servers: reported, Now: c.now, Load: Load{TokensPerSecond: 4 * rate, ServerRate: rate, Slots: 64, Known: true}}
+		for range maxRounds {
+			refused := false
+			for _, o := range scaler.Plan(in) {
+				outcome := c.apply(o)
+				scaler.Sent(o, outcome, c.now)
+				if refused = outcome == Unavailable; refused {
+					break
+				}
+			}
+			if !refused {
+				break
+			}
+		}
+		c.now = c.now.Add(step)
+	}
+}
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -112,6 +112,17 @@
 	Cached int
 	// Work is what the server is believed to be working on.
 	Work Work
+	// PerSecond is the rate of prompt processing of the pool's servers, in tokens
+	// a second; 0 without a prompt.
+	PerSecond float64
+}
+
+// ReadTime is the time that a server takes to read tokens of a prompt.
+func (e Estimate) ReadTime(tokens int) time.Duration {
+	if e.PerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / e.PerSecond * float64(time.Second))
 }
 
 // Predict estimates one more request at a server of a pool. assumed are the
@@ -128,7 +139,9 @@
 	}
 	est := Estimate{Cached: cached, Work: work}
 	if p != nil {
-		est.FirstToken = b.speed(pool).firstToken(work.WaitingTokens + max(p.Tokens-cached, 0))
+		speed := b.speed(pool)
+		est.FirstToken = speed.firstToken(work.WaitingTokens + max(p.Tokens-cached, 0))
+		est.PerSecond = speed.perSecond
 	}
 	return est
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -29,9 +29,9 @@
 	// silence is the time without a report after which an instance's fair share
 	// is set aside.
 	silence time.Duration
-	buckets   map[string]*bucket
-	own       map[string]float64
-	others    map[string]*other
+	buckets map[string]*bucket
+	own     map[string]float64
+	others  map[string]*other
 }
 
 // bucket is a workspace's quota as this instance sees it.
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -21,6 +21,10 @@
 	batchPenalty = 150 * time.Millisecond
 	// tieBreak bounds the random cost by which equal servers are told apart.
 	tieBreak = time.Millisecond
+	// rereadWeight is what reading a shared part of a prompt that another server
+	// keeps costs beside the time that this request waits for it: the time that
+	// the server is kept from other requests.
+	rereadWeight = 1
 	// otherZonePenalty prices bytes between zones.
 	otherZonePenalty = 2 * time.Millisecond
 )
@@ -152,6 +156,10 @@
 	}
 	c := candidate{server: s, estimate: p.predict(s.ID, assumed)}
 	c.cost = c.estimate.FirstToken
+	if p.prompt != nil {
+		missing := max(p.prompt.Shared()-c.estimate.Cached, 0)
+		c.cost += rereadWeight * c.estimate.ReadTime(missing)
+	}
 	slots := max(s.Slots, 1)
 	c.cost += batchPenalty * time.Duration(c.estimate.Work.Active) / time.Duration(slots)
 	if c.estimate.Work.Active >= slots {
--- a/internal/serve/choose_test.go
+++ b/internal/serve/choose_test.go
@@ -104,3 +104,31 @@
 		t.Error("a home with a long queue was chosen")
 	}
 }
+
+// A queue at the home that is shorter than the shared part takes to read twice is
+// waited for: reading the part elsewhere keeps another server from other requests.
+func TestShortQueueAtTheHomeIsWaitedFor(t *testing.T) {
+	const rate = 80_000
+	list := servers(20)
+	prompt := &forecast.Prompt{Tokens: 12_000, Parts: []forecast.Part{{ID: 1, Tokens: 512}, {ID: 2, Tokens: 4870}, {ID: 3, Tokens: 6618}}}
+	shared := time.Duration(float64(prompt.Shared()) / rate * float64(time.Second))
+	place := func(queue time.Duration) (machine.ID, machine.ID) {
+		p := &placement{servers: list, suspected: noSuspects, seed: 1, sample: len(list), prompt: prompt}
+		home := p.home(false).ID
+		p.predict = func(id machine.ID, _ int) forecast.Estimate {
+			e := forecast.Estimate{PerSecond: rate, FirstToken: 2 * shared}
+			if id == home {
+				e.Cached, e.FirstToken = prompt.Shared(), shared+queue
+			}
+			return e
+		}
+		c, _ := choose(p)
+		return c.server.ID, home
+	}
+	if got, home := place(shared * 18 / 10); got != home {
+		t.Errorf("with a queue of 1.8 times the shared part %s was chosen, want the home %s", got, home)
+	}
+	if got, home := place(shared * 23 / 10); got == home {
+		t.Error("with a queue of 2.3 times the shared part the home was chosen")
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -46,6 +47,7 @@
 		t.Skip("no -soak.seed given")
 	}
 	for n := range *seedsFlag {
-		Run(t, Options{Seed: *seedFlag + n, Duration: *durationFlag, Instances: *instancesFlag, Callers: *callersFlag, Binary: binary})
+		o := Options{Seed: *seedFlag + n, Duration: *durationFlag, Instances: *instancesFlag, Callers: *callersFlag, Binary: binary}
+		t.Run(strconv.FormatUint(o.Seed, 10), func(t *testing.T) { Run(t, o) })
 	}
 }
