--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,6 +112,8 @@
 	follower *follow.Follower
 	// feed holds what other instances read of the store.
 	feed chan follow.Batch
+	// fedBytes is what the last batch for the zone took of the link.
+	fedBytes atomic.Int64
 
 	incarnation uint64
 	sequence    atomic.Uint64
@@ -255,7 +257,7 @@
 
 func (i *Instance) watchPause() time.Duration {
 	if i.storeRole() == follow.Reads {
-		return watchPauseBase
+		return i.feedPause()
 	}
 	return min(watchPauseBase+time.Duration(i.count())*watchPausePerInstance, maxWatchPause)
 }
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -47,7 +47,18 @@
 		room -= len(item.Value)
 		m.Items = append(m.Items, item)
 	}
-	i.exchange.SendChanges(m)
+	i.fedBytes.Store(int64(i.exchange.SendChanges(m)))
+}
+
+// feedBytesPerSecond bounds what passing changes on takes of the link: half of
+// one of 10 Mbit/s.
+const feedBytesPerSecond = 600 << 10
+
+// feedPause is the time between two reads for the zone: longer after a batch that
+// filled the link.
+func (i *Instance) feedPause() time.Duration {
+	sending := time.Duration(i.fedBytes.Load()) * time.Second / feedBytesPerSecond
+	return max(watchPauseBase, sending)
 }
 
 // takeChanges hands what another instance read to the follower.
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -40,19 +40,20 @@
 
 const (
 	// maxFeedBytes bounds what one batch of changes takes of the link, over all
-	// instances of the zone: a tenth of a second at 10 Mbit/s. A larger one is
+	// instances of the zone: a quarter of a second at 10 Mbit/s. A larger one is
 	// read from the store by each instance.
-	maxFeedBytes = 128 << 10
+	maxFeedBytes = 320 << 10
 	// maxChangesBytes bounds changes after decompression.
 	maxChangesBytes = 256 << 10
 )
 
-// SendChanges passes changes of the store on to the instances of the zone.
-func (e *Exchange) SendChanges(changes *pb.StoreChanges) {
+// SendChanges passes changes of the store on to the instances of the zone, and
+// returns the bytes that were sent.
+func (e *Exchange) SendChanges(changes *pb.StoreChanges) int {
 	conn := e.conn.Load()
 	neighbours := e.neighbours()
 	if conn == nil || len(neighbours) == 0 {
-		return
+		return 0
 	}
 	data, err := compress(changes)
 	if err == nil && len(data)*len(neighbours) > maxFeedBytes {
@@ -61,7 +62,7 @@
 	}
 	if err != nil {
 		e.options.Log.WithError(err).Error("changes of the store cannot be encoded")
-		return
+		return 0
 	}
 	for _, address := range neighbours {
 		// A datagram that cannot be sent is like one that is lost.
@@ -69,6 +70,7 @@
 			sentTotal.Inc()
 		}
 	}
+	return len(data) * len(neighbours)
 }
 
 // compress returns the datagram of changes.
