follow: an instance cut off from the store gets from its zone's reader what it missed

When it was fed it took itself for one that reaches the store and for the reader.

Change: instances tell the revision that they know while they hear nothing of the store; the reader begins its batches there, from the last 512 changes. Whether an instance may read for others depends on its own calls alone.

Tests: TestCutOffInstanceGetsWhatItMissed, TestFedInstanceThatIsCutOffStaysCutOff.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -238,6 +238,7 @@
 	return &follow.Follower{
 		Store: i.Store, Log: i.Log, Pause: i.watchPause,
 		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
+		Needed: func() uint64 { return i.exchange.Needed(time.Now()) },
 		Parts: []follow.Part{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, keeper: i.keeper, log: i.Log}},
 			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, keeper: i.keeper, log: i.Log}},
--- a/internal/entry/feed.go
+++ b/internal/entry/feed.go
@@ -20,7 +20,7 @@
 
 // storeRole says who reads the store for this instance.
 func (i *Instance) storeRole() follow.Role {
-	fit := !i.stopping.Load() && !i.follower.Away()
+	fit := !i.stopping.Load() && !i.follower.CutOff()
 	switch i.exchange.Reader(fit, time.Now()) {
 	case "":
 		return follow.Alone
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -30,7 +30,10 @@
 	sequence := i.sequence.Add(1)
 	m := &pb.InstanceState{
 		From: i.self(), Sequence: sequence, UnixMs: i.clock.Tell(time.Now()).UnixMilli(), Leaving: i.stopping.Load(),
-		HoldsDuties: i.holding.Load(), StoreAway: i.follower.Away(),
+		HoldsDuties: i.holding.Load(), StoreAway: i.follower.CutOff(),
+	}
+	if i.follower.Away() {
+		m.StoreRevision = i.follower.Revision()
 	}
 	if p := i.keeper.Load(); p != nil {
 		m.ConfigVersion = p.Config.Version
--- a/internal/follow/feed.go
+++ b/internal/follow/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -62,18 +63,59 @@
 
 // publish passes on what this instance read, if it reads for others.
 func (f *Follower) publish(after, revision uint64, items []store.Item, now time.Time) {
-	if f.role() != Reads || f.Publish == nil {
-		return
-	}
 	b := Batch{After: after, Revision: revision, ReadAt: now, LapsedUntil: f.lapsedUntil(now)}
 	for _, item := range items {
 		if f.follows(item.Key) {
 			b.Changes = append(b.Changes, Change{Item: item})
 		}
 	}
+	f.recent.add(after, b.Changes)
+	if f.role() != Reads || f.Publish == nil {
+		return
+	}
+	if f.Needed != nil {
+		b.After, b.Changes = f.recent.since(f.Needed(), b)
+	}
 	f.Publish(b)
 }
 
+// keptChanges bounds the changes that are kept for instances that do not reach
+// the store.
+const keptChanges = 512
+
+// recentChanges are the last changes, all after the revision from.
+type recentChanges struct {
+	from    uint64
+	changes []Change
+}
+
+func (r *recentChanges) reset(revision uint64) { r.from, r.changes = revision, nil }
+
+func (r *recentChanges) add(after uint64, changes []Change) {
+	if r.from == 0 {
+		r.from = after
+	}
+	r.changes = append(r.changes, changes...)
+	if over := len(r.changes) - keptChanges; over > 0 {
+		r.from = r.changes[over-1].Revision
+		r.changes = slices.Clone(r.changes[over:])
+	}
+}
+
+// since returns the changes after a revision for a batch, or the batch's own when
+// that is later or not kept any more.
+func (r *recentChanges) since(revision uint64, b Batch) (after uint64, changes []Change) {
+	if revision == 0 || revision >= b.After || revision < r.from {
+		return b.After, b.Changes
+	}
+	for _, c := range r.changes {
+		if c.Revision > revision {
+			changes = append(changes, c)
+		}
+	}
+	return revision, changes
+}
+
 func (f *Follower) follows(key string) bool {
 	for _, p := range f.Parts {
 		if strings.HasPrefix(key, p.Prefix) {
@@ -88,7 +130,7 @@
 // does not reach the store, or changes between its news and what is known here
 // are missing.
 func (f *Follower) fed(ctx context.Context) bool {
-	if f.revision == 0 || f.role() != Fed {
+	if f.revision.Load() == 0 || f.role() != Fed {
 		return false
 	}
 	patience := time.Until(f.readAt.Add(feedSilence))
@@ -114,25 +156,27 @@
 
 // take applies a batch, unless changes before it are missing.
 func (f *Follower) take(ctx context.Context, b Batch) bool {
-	if b.After > f.revision {
-		f.Log.WithFields(logrus.Fields{"event": "feed_gap", "revision": f.revision, "after": b.After}).Debug("changes were missed; reading them from the store")
+	if b.After > f.revision.Load() {
+		f.Log.WithFields(logrus.Fields{"event": "feed_gap", "revision": f.revision.Load(), "after": b.After}).Debug("changes were missed; reading them from the store")
 		f.behind = true
 		return false
 	}
 	items, err := f.news(ctx, b)
 	if err != nil {
-		f.Log.WithError(err).WithFields(logrus.Fields{"event": "feed_incomplete", "revision": f.revision}).Info("a value is missing; reading the changes from the store")
+		f.Log.WithError(err).WithFields(logrus.Fields{"event": "feed_incomplete", "revision": f.revision.Load()}).Info("a value is missing; reading the changes from the store")
 		f.behind = true
 		return false
 	}
-	now := time.Now()
+	now, before := time.Now(), f.revision.Load()
+	f.behind = false
 	if now.Sub(b.ReadAt) < feedSilence {
 		f.succeeded(now)
 	}
 	if b.ReadAt.After(f.readAt) {
 		f.readAt = b.ReadAt
 	}
-	f.revision = max(f.revision, b.Revision)
+	f.revision.Store(max(f.revision.Load(), b.Revision))
+	f.recent.add(before, changesOf(items))
 	f.dispatch(items, b.ReadAt, later(f.lapsedUntil(now), b.LapsedUntil))
 	return true
 }
@@ -141,7 +185,7 @@
 func (f *Follower) news(ctx context.Context, b Batch) ([]store.Item, error) {
 	var items []store.Item
 	for _, c := range b.Changes {
-		if c.Revision <= f.revision {
+		if c.Revision <= f.revision.Load() {
 			continue
 		}
 		if c.ValueOmitted {
@@ -159,6 +203,14 @@
 	return items, nil
 }
 
+func changesOf(items []store.Item) []Change {
+	changes := make([]Change, 0, len(items))
+	for _, item := range items {
+		changes = append(changes, Change{Item: item})
+	}
+	return changes
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/follow/feed_test.go
+++ b/internal/follow/feed_test.go
@@ -327,12 +327,12 @@
 				default:
 					time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(r, "ms")) * time.Millisecond)
 				}
-				before := f.revision
+				before := f.revision.Load()
 				if !f.fed(t.Context()) && f.step(t.Context()) != nil {
 					r.Fatal("a call failed")
 				}
-				if f.revision < before {
-					r.Fatalf("revision went from %d to %d", before, f.revision)
+				if f.revision.Load() < before {
+					r.Fatalf("revision went from %d to %d", before, f.revision.Load())
 				}
 			}
 			role = Alone
@@ -345,3 +345,62 @@
 		})
 	})
 }
+
+// An instance loses the store and misses what is read until another instance
+// knows of that: the reader sends it all that it lacks.
+func TestCutOffInstanceGetsWhatItMissed(t *testing.T) {
+	h := &history{}
+	h.set("k1", "a")
+	fedFor(t, h, func(feed chan Batch, m *mirror) {
+		h.setDown(true)
+		h.set("k1", "missed")
+		h.set("k2", "missed too")
+		var sent []Batch
+		reader := &Follower{Parts: []Part{{Prefix: "k"}}, Role: func() Role { return Reads }, Publish: func(b Batch) { sent = append(sent, b) }}
+		reader.publish(1, 3, h.all()[1:3], time.Now())
+		feed <- Batch{After: 3, Revision: 3, ReadAt: time.Now()}
+		time.Sleep(2 * time.Second)
+		reader.Needed = func() uint64 { return 1 }
+		h.set("k3", "c")
+		reader.publish(3, 4, h.all()[3:], time.Now())
+		feed <- sent[1]
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		if diff := cmp.Diff(h.state(), m.state); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// An instance that is fed although its own calls fail does not count as one that
+// could read for others.
+func TestFedInstanceThatIsCutOffStaysCutOff(t *testing.T) {
+	h := &history{}
+	h.set("k1", "a")
+	synctest.Test(t, func(t *testing.T) {
+		role := Fed
+		f, _, feed := newFed(h, &role)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		synctest.Wait()
+		h.setDown(true)
+		time.Sleep(2 * time.Second)
+		if !f.CutOff() || !f.Away() {
+			t.Error("an instance whose calls fail does not say so")
+		}
+		h.set("k1", "b")
+		feed <- h.batch(1)
+		time.Sleep(500 * time.Millisecond)
+		if !f.CutOff() || f.Away() {
+			t.Errorf("fed: cut off %v, away %v; want cut off and not away", f.CutOff(), f.Away())
+		}
+		h.setDown(false)
+		time.Sleep(2 * time.Second)
+		if f.CutOff() {
+			t.Error("an instance that reaches the store again says that it does not")
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -59,9 +59,13 @@
 	Feed <-chan Batch
 	// Publish gets what this instance read for others.
 	Publish func(Batch)
-	Log     *logrus.Entry
+	// Needed is the revision from which others that do not reach the store need
+	// the changes; 0 when none does. Nil is none.
+	Needed func() uint64
+	Log    *logrus.Entry
 
-	revision uint64
+	revision atomic.Uint64
+	recent   recentChanges
 	// readAt is when the store last answered this instance or the one that
 	// reads for it.
 	readAt time.Time
@@ -70,7 +74,9 @@
 	// changed is set when the last call told of changes.
 	changed bool
 	// away is set while the store does not answer, returned when it did again.
-	away     atomic.Bool
+	away atomic.Bool
+	// cutOff is set while this instance's own calls fail, whatever others tell.
+	cutOff   atomic.Bool
 	returned time.Time
 }
 
@@ -112,12 +118,12 @@
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
-	if f.revision == 0 {
+	if f.revision.Load() == 0 {
 		return f.resync(ctx)
 	}
-	items, revision, err := f.Store.Watch(ctx, everything, f.revision, f.wait())
+	items, revision, err := f.Store.Watch(ctx, everything, f.revision.Load(), f.wait())
 	if errors.Is(err, store.ErrHistoryGone) {
-		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "revision": f.revision}).Info("changes were missed; reading the list anew")
+		f.Log.WithFields(logrus.Fields{"event": "watch_gap", "revision": f.revision.Load()}).Info("changes were missed; reading the list anew")
 		return f.resync(ctx)
 	}
 	if err != nil {
@@ -126,8 +132,9 @@
 	now := time.Now()
 	f.succeeded(now)
 	f.readAt, f.behind = now, false
-	f.publish(f.revision, revision, items, now)
-	f.revision = revision
+	f.cutOff.Store(false)
+	f.publish(f.revision.Load(), revision, items, now)
+	f.revision.Store(revision)
 	f.changed = len(items) > 0
 	f.dispatch(items, now, f.lapsedUntil(now))
 	return nil
@@ -179,7 +186,9 @@
 	now := time.Now()
 	f.succeeded(now)
 	f.readAt, f.behind, f.changed = now, false, false
-	f.revision = oldest
+	f.cutOff.Store(false)
+	f.revision.Store(oldest)
+	f.recent.reset(oldest)
 	for i, p := range f.Parts {
 		p.Handler.Resync(lists[i], now, f.lapsedUntil(now))
 	}
@@ -194,14 +203,24 @@
 	return until
 }
 
-// Away reports whether the store does not answer. It is safe for concurrent use.
+// CutOff reports whether the store does not answer this instance itself. It is
+// safe for concurrent use.
+func (f *Follower) CutOff() bool { return f.cutOff.Load() }
+
+// Revision is the revision up to which the store is known. It is safe for
+// concurrent use.
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
+
+// Away reports whether nothing is heard of the store, from itself or from the
+// instance that reads for this one. It is safe for concurrent use.
 func (f *Follower) Away() bool { return f.away.Load() }
 
 func (f *Follower) failed(err error) {
+	f.cutOff.Store(true)
 	if f.away.Swap(true) {
 		return
 	}
-	f.Log.WithFields(logrus.Fields{"event": "store_lost", "revision": f.revision}).WithError(err).Warn("the store does not answer; going on with what is known")
+	f.Log.WithFields(logrus.Fields{"event": "store_lost", "revision": f.revision.Load()}).WithError(err).Warn("the store does not answer; going on with what is known")
 }
 
 func (f *Follower) succeeded(now time.Time) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -81,6 +81,8 @@
 	silent      bool
 	// fit is set while the instance reaches the store and does not stop.
 	fit bool
+	// knows is the store's revision that the instance knows while it does not reach it.
+	knows uint64
 }
 
 // New returns an Exchange.
@@ -319,5 +321,6 @@
 	}
 	p.incarnation, p.sequence, p.heard, p.silent = from.GetIncarnation(), state.GetSequence(), now, false
 	p.fit = !state.GetLeaving() && !state.GetStoreAway()
+	p.knows = state.GetStoreRevision()
 	return true
 }
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -38,6 +38,20 @@
 	return first
 }
 
+// Needed returns the least revision of the store that is known to an instance of
+// the zone that does not reach it; 0 when there is none.
+func (e *Exchange) Needed(now time.Time) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	least := uint64(0)
+	for _, p := range e.peers {
+		if p.zone == e.options.Zone && p.knows > 0 && now.Sub(p.heard) < aliveFor && (least == 0 || p.knows < least) {
+			least = p.knows
+		}
+	}
+	return least
+}
+
 const (
 	// maxFeedBytes bounds what one batch of changes takes of the link, over all
 	// instances of the zone: a quarter of a second at 10 Mbit/s. A larger one is
