autoscale: found servers are replaced as they register; replacements do not count as found

Ruled out: the load's forecast (known 4 s after the traffic begins, and lower than what was found). Change: reclaimable servers are ordered for those found while more register; what was ordered does not count as found. Test: TestFoundServersAreReplacedAsTheyRegister, red before (13 and 12 servers in place of 8).

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -78,6 +78,8 @@
 	reclaimable bool
 }
 
+func (o Order) lot() lotKey { return lotKey{o.Zone, o.Reclaimable} }
+
 // lot is what is known of one market in one zone.
 type lot struct {
 	// ordered is the number last ordered, -1 before the first order.
@@ -93,9 +95,10 @@
 	lots     map[lotKey]*lot
 	// needs are past needs, for a slow decrease.
 	needs []pastNeed
-	// first is the largest number of servers seen before the load was known.
-	first   int
-	firstAt time.Time
+	// found is the number of servers that were there before any was ordered, and
+	// foundAt when the last of them was seen first.
+	found   int
+	foundAt time.Time
 	// noted are the servers whose leaving was taken notice of; a holder of the duty
 	// sees few enough of them to keep all.
 	noted map[machine.ID]bool
@@ -147,9 +150,7 @@
 // ones that were refused, and for those that are overdue.
 func (s *Scaler) Plan(in Input) []Order {
 	have := count(in.Servers)
-	if !in.Load.Known && s.growing(in, &have) {
-		return nil
-	}
+	growing := !in.Load.Known && s.growing(in, &have)
 	s.noteReclaims(in, &have)
 	need := s.need(in)
 	wished := s.cheapest(in, &have, need, func(key lotKey) int { return s.available(in, &have, key) })
@@ -166,7 +167,11 @@
 	}
 	s.fillZones(in, &have, target)
 	s.keepUntilReplaced(in, &have, target, need)
-	return s.orders(in, &have, target)
+	orders := s.orders(in, &have, target)
+	if growing {
+		return slices.DeleteFunc(orders, func(o Order) bool { return !o.Reclaimable || o.Servers <= have.present[o.lot()] })
+	}
+	return orders
 }
 
 // noteReclaims takes it as a refusal that reclaimable servers of a zone leave of
@@ -185,13 +190,20 @@
 	}
 }
 
-// growing reports whether servers may still be coming up that were there at
-// first: they register one by one.
+// growing reports whether servers may still register that run since before this
+// Scaler: they do so one by one. Meanwhile reclaimable ones are ordered for those
+// that were found, and none is given back. What was ordered does not count as found.
 func (s *Scaler) growing(in Input, have *census) bool {
-	if total := have.total(); total > s.first {
-		s.first, s.firstAt = total, in.Now
+	total := have.total()
+	for key, l := range s.lots {
+		if key.reclaimable && l.ordered > 0 {
+			total -= have.present[key]
+		}
+	}
+	if total > s.found {
+		s.found, s.foundAt = total, in.Now
 	}
-	return in.Now.Sub(s.firstAt) < s.settings.GrowthPause
+	return in.Now.Sub(s.foundAt) < s.settings.GrowthPause
 }
 
 // available is the number of reclaimable servers that a zone may have.
@@ -222,7 +234,7 @@
 	}
 	if !l.Known {
 		// Without traffic to judge by, what was there at first stays.
-		need = max(need, float64(s.first)*unknownShare)
+		need = max(need, float64(s.found)*unknownShare)
 	}
 	s.needs = append(s.needs, pastNeed{in.Now, need})
 	s.needs = slices.DeleteFunc(s.needs, func(p pastNeed) bool { return in.Now.Sub(p.at) > s.settings.ShrinkAfter })
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -274,6 +274,22 @@
 	}
 }
 
+// The servers that were found are replaced as they register: the last of them
+// goes once its replacement has booted, and replacements do not count as found.
+func TestFoundServersAreReplacedAsTheyRegister(t *testing.T) {
+	const drain = 2 * time.Second
+	lastFound := 8 * 300 * time.Millisecond
+	none := func(time.Duration) float64 { return 0 }
+	r := simulate(lastFound+bootTime+drain+4*step, none, quiet)
+	// Five servers, also without any one zone's.
+	if want := 8; r.final != want {
+		t.Errorf("%d servers, want the %d that replace those found", r.final, want)
+	}
+	if r = simulate(30*time.Second, none, quiet); r.final != 8 {
+		t.Errorf("%d servers after half a minute, want 8", r.final)
+	}
+}
+
 // Orders that get no answer are sent again, and servers that differ from what
 // was ordered, as by an order carried out late, are ordered back.
 func TestLateOrderIsUndone(t *testing.T) {
--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -40,7 +40,7 @@
 	// Servers are added before others are given back; a refused order is planned
 	// around before any are.
 	slices.SortStableFunc(orders, func(a, b Order) int {
-		return (b.Servers - have.present[lotKey{b.Zone, b.Reclaimable}]) - (a.Servers - have.present[lotKey{a.Zone, a.Reclaimable}])
+		return (b.Servers - have.present[b.lot()]) - (a.Servers - have.present[a.lot()])
 	})
 	return orders
 }
@@ -66,7 +66,7 @@
 
 // Sent records the outcome of an order.
 func (s *Scaler) Sent(o Order, outcome Outcome, now time.Time) {
-	l := s.lot(lotKey{o.Zone, o.Reclaimable})
+	l := s.lot(o.lot())
 	l.ordered, l.orderedAt = o.Servers, now
 	l.accepted = outcome == Accepted
 	switch outcome {
