serve: prompts stay at their homes while waits are far below the target; forecast: waiting work is read meanwhile

By lines of single choices: a batch at 8 of 16 slots counted 75 ms, which no engine takes, and prompts told of by other instances counted as waiting whole until the next message although 157 tokens a ms are read. Change: waits cost by their square over the target, a batch by the fourth power of its occupation, reading again twice its time; waiting prompts shrink at the learned rate. request_served tells first_byte_ms.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -38,7 +38,7 @@
 	if p := i.keeper.Load(); p != nil {
 		m.ConfigVersion = p.Config.Version
 	}
-	for id, w := range i.board.Own() {
+	for id, w := range i.board.Own(time.Now()) {
 		m.Work = append(m.Work, &pb.ServerWork{
 			Server: string(id), Active: uint32(w.Active), Waiting: uint32(w.Waiting), WaitingTokens: uint32(w.WaitingTokens),
 		})
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -76,8 +76,13 @@
 
 // engine is what is known of one server.
 type engine struct {
-	own    Work
-	others map[string]otherWork
+	own Work
+	// pool is that of the last own request.
+	pool string
+	// unread is what was left at unreadAt of the own waiting requests' prompts.
+	unread   int
+	unreadAt time.Time
+	others   map[string]otherWork
 	cache  partCache
 	// reported is the number of requests that the server itself told of last,
 	// those of other instances alone, at reportedAt.
@@ -132,22 +137,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.engine(id)
-	work := e.work(now)
+	speed := b.speed(pool)
+	work := e.work(now, speed.perSecond)
 	cached := 0
 	if p != nil {
 		cached = max(e.cache.reusable(p), assumed)
 	}
 	est := Estimate{Cached: cached, Work: work}
 	if p != nil {
-		speed := b.speed(pool)
 		est.FirstToken = speed.firstToken(work.WaitingTokens + max(p.Tokens-cached, 0))
 		est.PerSecond = speed.perSecond
 	}
 	return est
 }
 
-func (e *engine) work(now time.Time) Work {
+// work sums what all instances have at the engine, which reads rate prompt tokens
+// a second. What they were told to be waiting has been read in part since.
+func (e *engine) work(now time.Time, rate float64) Work {
 	w := e.own
+	w.WaitingTokens = e.unread
 	for from, o := range e.others {
 		if now.Sub(o.at) > staleWork {
 			delete(e.others, from)
@@ -155,6 +163,11 @@
 		}
 		w.add(o.Work)
 	}
+	total := w.WaitingTokens
+	w.WaitingTokens = unreadAfter(now.Sub(e.unreadAt), e.unread, total, rate)
+	for _, o := range e.others {
+		w.WaitingTokens += unreadAfter(now.Sub(o.at), o.WaitingTokens, total, rate)
+	}
 	// A server's own word tells of those that are not heard.
 	if now.Sub(e.reportedAt) < freshReport {
 		w.Active = max(w.Active, e.own.Active+e.reported)
@@ -162,6 +175,31 @@
 	return w
 }
 
+// unreadAfter is what is left of tokens after a time in which an engine reads rate
+// tokens a second, in equal parts of all that wait there.
+func unreadAfter(passed time.Duration, tokens, total int, rate float64) int {
+	if tokens <= 0 {
+		return 0
+	}
+	read := rate * passed.Seconds() * float64(tokens) / float64(total)
+	return max(tokens-int(read), 0)
+}
+
+// setUnread records what is left of the own waiting requests' prompts, at most what
+// they are in all.
+func (e *engine) setUnread(tokens int, now time.Time) {
+	e.unread, e.unreadAt = min(tokens, e.own.WaitingTokens), now
+}
+
+// ownUnread is what is left of the own waiting requests' prompts.
+func (e *engine) ownUnread(now time.Time, rate float64) int {
+	total := e.unread
+	for _, o := range e.others {
+		total += o.WaitingTokens
+	}
+	return unreadAfter(now.Sub(e.unreadAt), e.unread, total, rate)
+}
+
 // freshReport is the age up to which a server's own report counts.
 const freshReport = 300 * time.Millisecond
 
@@ -193,12 +231,15 @@
 	defer b.mu.Unlock()
 	e := b.engine(id)
 	j := &Job{board: b, id: id, pool: pool, prompt: p, begun: now}
-	j.ahead = e.work(now).WaitingTokens
+	rate := b.speed(pool).perSecond
+	e.pool = pool
+	j.ahead = e.work(now, rate).WaitingTokens
 	if p != nil {
 		j.toRead = max(p.Tokens-cached, 0)
 		e.cache.add(p)
 	}
 	e.own.add(Work{Active: 1, Waiting: 1, WaitingTokens: j.toRead})
+	e.setUnread(e.ownUnread(now, rate)+j.toRead, now)
 	return j
 }
 
@@ -211,14 +252,22 @@
 		return
 	}
 	j.started = true
-	b.engine(j.id).own.add(Work{Waiting: -1, WaitingTokens: -j.toRead})
+	j.change(Work{Waiting: -1, WaitingTokens: -j.toRead}, now)
 	if j.prompt != nil {
 		b.speed(j.pool).observe(j.ahead, j.toRead, now.Sub(j.begun))
 	}
 }
 
+// change adds to the own work at the job's engine.
+func (j *Job) change(w Work, now time.Time) {
+	e := j.board.engine(j.id)
+	unread := e.ownUnread(now, j.board.speed(j.pool).perSecond)
+	e.own.add(w)
+	e.setUnread(unread, now)
+}
+
 // Done records the end of the request, with or without an answer.
-func (j *Job) Done() {
+func (j *Job) Done(now time.Time) {
 	b := j.board
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -230,17 +279,19 @@
 	if !j.started {
 		w.Waiting, w.WaitingTokens = -1, -j.toRead
 	}
-	b.engine(j.id).own.add(w)
+	j.change(w, now)
 }
 
 // Own returns this instance's work by server, for the other instances.
-func (b *Board) Own() map[machine.ID]Work {
+func (b *Board) Own(now time.Time) map[machine.ID]Work {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[machine.ID]Work)
 	for id, e := range b.engines {
 		if e.own.Active > 0 {
-			out[id] = e.own
+			w := e.own
+			w.WaitingTokens = e.ownUnread(now, b.speed(e.pool).perSecond)
+			out[id] = w
 		}
 	}
 	return out
@@ -298,7 +349,7 @@
 	n := 0
 	for _, id := range servers {
 		if e := b.engines[id]; e != nil {
-			n += e.work(now).Active
+			n += e.work(now, 0).Active
 		}
 	}
 	return n
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,15 +17,18 @@
 	// homeShare is the part of the shared prompt that its home is assumed to keep
 	// when nothing is known.
 	homeShare = 0.85
-	// batchPenalty is what a full batch delays one more request's tokens; a
-	// quarter of it is counted for each request that waits for a slot.
+	// batchPenalty is what one more request costs at a full batch; a quarter of it
+	// is counted for each request that waits for a slot.
 	batchPenalty = 150 * time.Millisecond
+	// batchPower is the power of the batch's occupation by which the cost grows: a
+	// batch with free slots delays hardly any.
+	batchPower = 4
 	// tieBreak bounds the random cost by which equal servers are told apart.
 	tieBreak = time.Millisecond
 	// rereadWeight is what reading a shared part of a prompt that another server
 	// keeps costs beside the time that this request waits for it: the time that
 	// the server is kept from other requests.
-	rereadWeight = 1
+	rereadWeight = 2
 	// otherZonePenalty prices bytes between zones.
 	otherZonePenalty = 2 * time.Millisecond
 )
@@ -45,6 +49,8 @@
 	suspected func(machine.ID) bool
 	predict   func(id machine.ID, assumed int) forecast.Estimate
 	seed      uint64
+	// target is the latency target; 0 is none.
+	target time.Duration
 	// sample is the number of servers that are compared, beside the home.
 	sample int
 }
@@ -86,6 +92,7 @@
 	}
 	for _, s := range p.sampled(usable, home) {
 		c := p.candidate(s, s == home)
+		p.price(&c)
 		draw = mix(draw + 1)
 		c.cost += time.Duration(draw % uint64(tieBreak))
 		if !found || c.cost < best.cost {
@@ -154,19 +161,35 @@
 	if home {
 		assumed = int(homeShare * float64(p.prompt.Shared()))
 	}
-	c := candidate{server: s, estimate: p.predict(s.ID, assumed)}
-	c.cost = c.estimate.FirstToken
+	return candidate{server: s, estimate: p.predict(s.ID, assumed)}
+}
+
+// price sets what the candidate costs: the wait, the reading of shared parts, a
+// batch that fills up, and another zone.
+func (p *placement) price(c *candidate) {
+	c.cost = p.waitCost(c.estimate.FirstToken) + batchCost(c)
 	if p.prompt != nil {
 		missing := max(p.prompt.Shared()-c.estimate.Cached, 0)
 		c.cost += rereadWeight * c.estimate.ReadTime(missing)
 	}
-	slots := max(s.Slots, 1)
-	c.cost += batchPenalty * time.Duration(c.estimate.Work.Active) / time.Duration(slots)
-	if c.estimate.Work.Active >= slots {
-		c.cost += time.Duration(c.estimate.Work.Active-slots+1) * batchPenalty / 4
-	}
-	if s.Zone != p.zone {
+	if c.server.Zone != p.zone {
 		c.cost += otherZonePenalty
 	}
-	return c
+}
+
+// waitCost grows with the square of the wait, and equals it at the latency
+// target: far below the target a longer wait does no harm.
+func (p *placement) waitCost(wait time.Duration) time.Duration {
+	if p.target <= 0 {
+		return wait
+	}
+	return time.Duration(float64(wait) * float64(wait) / float64(p.target))
+}
+
+func batchCost(c *candidate) time.Duration {
+	slots, active := max(c.server.Slots, 1), c.estimate.Work.Active
+	if active >= slots {
+		return batchPenalty + time.Duration(active-slots+1)*batchPenalty/4
+	}
+	return time.Duration(float64(batchPenalty) * math.Pow(float64(active)/float64(slots), batchPower))
 }
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -65,7 +65,7 @@
 // logServed writes the outcome of a request that was answered.
 func (r *run) logServed(c candidate, err error) {
 	r.countServed(err)
-	entry := r.server.Log.WithFields(r.fields(c)).WithField("event", "request_served")
+	entry := r.server.Log.WithFields(r.fields(c)).WithFields(logrus.Fields{"event": "request_served", "first_byte_ms": r.firstByte.Milliseconds()})
 	if err != nil {
 		entry.WithError(err).Info("the answer broke off")
 		return
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -54,6 +54,8 @@
 	granted bool
 	// begun is set once the caller has the head of the answer.
 	begun bool
+	// firstByte is the time from the arrival to the head of the answer.
+	firstByte time.Duration
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	// handle names the memory that the next attempt goes on with.
@@ -100,7 +102,7 @@
 	s := r.server
 	now := time.Now()
 	p := r.placement(r.exclude, now)
-	p.prompt = r.req.Prompt
+	p.prompt, p.target = r.req.Prompt, r.req.Route.LatencyTarget
 	p.predict = func(id machine.ID, assumed int) forecast.Estimate {
 		return s.Board.Predict(r.pool, id, r.req.Prompt, assumed, now)
 	}
@@ -210,7 +212,7 @@
 	ctx, heard, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Board.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
-	defer job.Done()
+	defer func() { job.Done(time.Now()) }()
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 	})
@@ -366,7 +368,8 @@
 		return nil
 	}
 	r.begun = true
-	firstByteSeconds.Update(time.Since(r.req.Arrived).Seconds())
+	r.firstByte = time.Since(r.req.Arrived)
+	firstByteSeconds.Update(r.firstByte.Seconds())
 	if err := r.caller.Begin(a.Status, a.Header, a.Length); err != nil {
 		return ErrBroken
 	}
