quota: what is left is told to instances that start, and a part of the tolerance is handed out where nobody knows it

The lines of request_refused there all say 'the workspace's quota is used up': buckets are empty at a start, and a prompt of 40,000 tokens needs an eighth of a second of a whole quota. Ruled out: the start itself (configuration in force 20 ms after 'started'), the retry budget. Change: messages carry what is left of a quota at instances that have run for 3 s; those that start take it. Where all start at once, 0.45 of what is tolerated beyond the quota in a window is handed out, by the share of instances that are heard, so that two losses of all within a window keep the bound. Accounts of workspaces that this instance has not seen yet are kept as well; before, the first request found a full bucket.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -72,7 +72,7 @@
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
 			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, GracePeriod: s.GracePeriod,
-			RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, QuotaSlack: s.QuotaSlack, UsageWindow: s.UsageWindow,
+			RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, QuotaTolerance: s.QuotaTolerance, UsageWindow: s.UsageWindow,
 		},
 		Store:   client,
 		Backend: platform.NewBackend(connections),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,8 +43,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	QuotaSlack  float64
-	UsageWindow time.Duration
+	// QuotaTolerance is what is allowed beyond the workspaces' quotas.
+	QuotaTolerance quota.Tolerance
+	UsageWindow    time.Duration
 }
 
 // Front answers callers.
@@ -127,10 +128,9 @@
 }
 
 const (
-	// quotaTolerance and budgetShare are the parts of the fleet's slack that are
-	// used; the rest covers what instances learn late of each other.
-	quotaTolerance = 0.15
-	budgetShare    = 0.7
+	// budgetShare is the part of the fleet's retry budget that is used; the rest
+	// covers what instances learn late of each other.
+	budgetShare = 0.7
 	// maintainInterval is the time between looks at servers and instances.
 	maintainInterval = 250 * time.Millisecond
 )
@@ -140,7 +140,7 @@
 	now := time.Now()
 	i := &Instance{
 		Options: o, keeper: newPictureKeeper(o.Log), board: forecast.NewBoard(),
-		ledger:  quota.New(quotaTolerance*o.Settings.QuotaSlack, now),
+		ledger:  quota.New(o.Settings.QuotaTolerance, now),
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0, retryWindow(o.Settings)),
 		demand:      demand.New(),
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,6 +8,7 @@
 
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/quota"
 	"kumquatyard/internal/usage"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -43,8 +44,8 @@
 			Server: string(id), Active: uint32(w.Active), Waiting: uint32(w.Waiting), WaitingTokens: uint32(w.WaitingTokens),
 		})
 	}
-	for name, total := range i.ledger.Used() {
-		m.Used = append(m.Used, &pb.WorkspaceTokens{Workspace: name, Total: total})
+	for name, a := range i.ledger.Accounts(time.Now()) {
+		m.Used = append(m.Used, encodeAccount(name, a))
 	}
 	if !holder {
 		return m
@@ -56,6 +57,22 @@
 	return m
 }
 
+func encodeAccount(workspace string, a quota.Account) *pb.WorkspaceTokens {
+	m := &pb.WorkspaceTokens{Workspace: workspace, Total: a.Used}
+	if a.Known {
+		m.Left = proto.Float32(float32(a.Left))
+	}
+	return m
+}
+
+func decodeAccounts(list []*pb.WorkspaceTokens) map[string]quota.Account {
+	accounts := make(map[string]quota.Account, len(list))
+	for _, m := range list {
+		accounts[m.GetWorkspace()] = quota.Account{Used: m.GetTotal(), Left: float64(m.GetLeft()), Known: m.Left != nil}
+	}
+	return accounts
+}
+
 // incarnationOf names one start of an instance.
 func incarnationOf(m *pb.Instance) string {
 	return m.GetName() + "/" + time.UnixMilli(int64(m.GetIncarnation())).UTC().Format(time.RFC3339Nano)
@@ -77,11 +94,7 @@
 		}
 	}
 	i.board.SetOthers(name, work, now)
-	used := make(map[string]float64, len(m.GetUsed()))
-	for _, u := range m.GetUsed() {
-		used[u.GetWorkspace()] = u.GetTotal()
-	}
-	i.ledger.Heard(incarnation, used, now)
+	i.ledger.Heard(incarnation, decodeAccounts(m.GetUsed()), now)
 	if len(m.GetDemands()) == 0 && len(m.GetWindows()) == 0 {
 		return
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,14 +17,40 @@
 // share is set aside.
 const minSilence = time.Second
 
+// Tolerance is what operators allow beyond the quotas: in any Window a workspace may
+// use (rate * Window + burst) * (1 + Overrun) + Slack.
+type Tolerance struct {
+	Slack   float64
+	Overrun float64
+	Window  time.Duration
+}
+
+const (
+	// overdraft is the part of the slack by which a bucket may be overdrawn.
+	overdraft = 0.15
+	// startShare is the part of the tolerance that is handed out at a start: all
+	// instances may start twice within a window.
+	startShare = 0.45
+)
+
+// overdraft is how far a bucket may be overdrawn.
+func (t Tolerance) overdraft() float64 { return overdraft * t.Slack }
+
+// start is what a workspace may use right after a start of all instances, although
+// they do not know what was used before. Before and after it the quota itself and
+// the overdraft may be used in full; this is of what is tolerated beyond.
+func (t Tolerance) start(q *fleet.Quota) float64 {
+	beyond := t.Overrun*(q.PerSecond*t.Window.Seconds()+q.Burst) + (1-2*overdraft)*t.Slack
+	return startShare * beyond
+}
+
 // Ledger holds the buckets of all workspaces. It is safe for concurrent use.
 type Ledger struct {
 	mu sync.Mutex
 	// began is the start of the process: what was used before is not known, so
 	// that buckets fill from then on.
-	began time.Time
-	// tolerance is how far a bucket may be overdrawn.
-	tolerance float64
+	began     time.Time
+	tolerance Tolerance
 	instances int
 	// silence is the time without a report after which an instance's fair share
 	// is set aside.
@@ -45,6 +71,10 @@
 	// they were last heard, in proportion.
 	own, others float64
 	expected    float64
+	// started is the part of what may be used at a start that the level has had,
+	// and adopted is set when the level is that of an instance that knew it.
+	started float64
+	adopted bool
 }
 
 // useDecay is the time over which recent use is compared.
@@ -56,12 +86,31 @@
 	used  map[string]float64
 }
 
+// Account is what an instance tells the others of a workspace.
+type Account struct {
+	// Used is what the instance charged since its start.
+	Used float64
+	// Left is the level of its bucket, and Known whether it has run for long enough
+	// to know it.
+	Left  float64
+	Known bool
+}
+
+const (
+	// knownAfter is how long after its start an instance counts as knowing what is
+	// left of the quotas, and knownShare the part of the instances that it hears then.
+	knownAfter = 3 * time.Second
+	knownShare = 0.5
+	// adoptFor is how long after its start an instance takes what is left of the
+	// quotas from those that know it.
+	adoptFor = 1200 * time.Millisecond
+)
+
 // assumedInstances is the number of instances until it is known.
 const assumedInstances = 8
 
-// New returns a Ledger whose buckets are empty at began and may be overdrawn by
-// tolerance.
-func New(tolerance float64, began time.Time) *Ledger {
+// New returns a Ledger that does not know what was used before began.
+func New(tolerance Tolerance, began time.Time) *Ledger {
 	return &Ledger{
 		began: began, tolerance: tolerance, instances: assumedInstances, silence: minSilence,
 		buckets: make(map[string]*bucket), own: make(map[string]float64), others: make(map[string]*other),
@@ -103,7 +152,7 @@
 	defer l.mu.Unlock()
 	share := l.share(now)
 	b := l.bucket(w, share, now)
-	if b.level-b.expected < amount-l.tolerance*share && b.level-b.expected < b.burst*share {
+	if b.level-b.expected < amount-l.tolerance.overdraft()*share && b.level-b.expected < b.burst*share {
 		missing := amount - b.level + b.expected
 		return time.Duration(missing / (w.Quota.PerSecond * share) * float64(time.Second)), false
 	}
@@ -130,6 +179,11 @@
 	b.expected -= b.expected / max(instances-1, 1)
 }
 
+// adopt takes the level from an instance that knows it.
+func (b *bucket) adopt(level float64, now time.Time) {
+	b.level, b.refilled, b.adopted = level, now, true
+}
+
 // Refund returns what a request was charged that did not run.
 func (l *Ledger) Refund(w *fleet.Workspace, amount float64, now time.Time) {
 	if w == nil || w.Quota.PerSecond <= 0 {
@@ -141,14 +195,30 @@
 	l.own[w.Name] -= amount
 }
 
-// bucket returns a workspace's bucket, refilled up to now.
-func (l *Ledger) bucket(w *fleet.Workspace, share float64, now time.Time) *bucket {
-	b := l.buckets[w.Name]
+// bucketOf returns a workspace's bucket, that of an unknown one without a quota.
+func (l *Ledger) bucketOf(name string) *bucket {
+	b := l.buckets[name]
 	if b == nil {
 		b = &bucket{refilled: l.began}
-		l.buckets[w.Name] = b
+		l.buckets[name] = b
 	}
+	return b
+}
+
+// bucket returns a workspace's bucket, refilled up to now.
+func (l *Ledger) bucket(w *fleet.Workspace, share float64, now time.Time) *bucket {
+	b := l.bucketOf(w.Name)
 	b.perSecond, b.burst = w.Quota.PerSecond, w.Quota.Burst
+	if share > b.started && !b.adopted {
+		b.level += (share - b.started) * l.tolerance.start(&w.Quota)
+		b.started = share
+	}
+	b.refill(share, now)
+	return b
+}
+
+// refill adds this instance's share of the quota since the last time.
+func (b *bucket) refill(share float64, now time.Time) {
 	if passed := now.Sub(b.refilled); passed > 0 {
 		b.level += passed.Seconds() * b.perSecond * share
 		keep := math.Exp(-passed.Seconds() / useDecay.Seconds())
@@ -157,23 +227,31 @@
 		b.refilled = now
 	}
 	b.level = min(b.level, b.burst*share)
-	return b
 }
 
-// Used returns what this instance charged since its start, by workspace.
-func (l *Ledger) Used() map[string]float64 {
+// Accounts returns what this instance knows, by workspace.
+func (l *Ledger) Accounts(now time.Time) map[string]Account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	used := make(map[string]float64, len(l.own))
+	share := l.share(now)
+	known := now.Sub(l.began) >= knownAfter && share >= knownShare
+	accounts := make(map[string]Account, len(l.own))
 	for name, amount := range l.own {
-		used[name] = amount
+		accounts[name] = Account{Used: amount}
+	}
+	if !known {
+		return accounts
+	}
+	for name, b := range l.buckets {
+		b.refill(share, now)
+		accounts[name] = Account{Used: l.own[name], Left: b.level, Known: true}
 	}
-	return used
+	return accounts
 }
 
-// Heard records what another instance charged since its start. from names one
-// start of it. A report repeated or overtaken changes nothing but the time.
-func (l *Ledger) Heard(from string, used map[string]float64, now time.Time) {
+// Heard records the accounts of another instance. from names one start of it. A
+// report repeated or overtaken changes nothing but the time.
+func (l *Ledger) Heard(from string, accounts map[string]Account, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.others[from]
@@ -182,16 +260,19 @@
 		l.others[from] = o
 		// What a new instance used before this one heard of it is not known to be
 		// recent, so it only sets the start.
-		for name, amount := range used {
-			o.used[name] = amount
+		for name, a := range accounts {
+			o.used[name] = a.Used
 		}
 	}
 	o.heard = now
-	for name, amount := range used {
-		if b := l.buckets[name]; b != nil {
-			b.settle(amount-o.used[name], float64(l.instances))
+	adopts := now.Sub(l.began) < adoptFor
+	for name, a := range accounts {
+		b := l.bucketOf(name)
+		b.settle(a.Used-o.used[name], float64(l.instances))
+		o.used[name] = a.Used
+		if adopts && a.Known {
+			b.adopt(a.Left, now)
 		}
-		o.used[name] = amount
 	}
 	for name, old := range l.others {
 		if now.Sub(old.heard) > forgetAfter {
