--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -21,7 +21,8 @@
 	MaxEjection  time.Duration
 	// SlowFactor over the pool's median latency makes a server an outlier.
 	SlowFactor float64
-	// FailureShare of failed samples makes a server an outlier.
+	// FailureShare of failed samples makes a server an outlier, unless the pool's
+	// median is half of the server's or more.
 	FailureShare float64
 }
 
@@ -34,6 +35,9 @@
 
 	// minSamples is the number of samples before a server is judged.
 	minSamples = 8
+	// failureFactor over the pool's median share of failures makes a server an
+	// outlier: where all fail alike, none is better than the others.
+	failureFactor = 2
 	// minPeers is the number of judged servers that a median needs.
 	minPeers = 3
 	// decay is the weight of the newest sample in the averages.
@@ -122,7 +126,8 @@
 func (d *Detector) Update(now time.Time, members []Member) map[machine.ID]bool {
 	d.forget(members)
 	groups := make(map[place][]Member)
-	pools := make(map[string][]float64)
+	latencies := make(map[string][]float64)
+	failures := make(map[string][]float64)
 	for _, m := range members {
 		key := place{pool: m.Pool, zone: m.Zone}
 		groups[key] = append(groups[key], m)
@@ -132,13 +137,17 @@
 		}
 		st.age(now)
 		d.readmit(now, st)
+		if st.samples >= minSamples {
+			failures[m.Pool] = append(failures[m.Pool], st.failures)
+		}
 		if st.samples >= minSamples && st.latency > 0 {
-			pools[m.Pool] = append(pools[m.Pool], st.latency)
+			latencies[m.Pool] = append(latencies[m.Pool], st.latency)
 		}
 	}
 	out := make(map[machine.ID]bool)
 	for key, group := range groups {
-		d.updateGroup(now, group, median(pools[key.pool]), out)
+		usual := norm{latency: median(latencies[key.pool]), failures: median(failures[key.pool])}
+		d.updateGroup(now, group, usual, out)
 	}
 	return out
 }
@@ -154,12 +163,15 @@
 	}
 }
 
+// norm holds a pool's medians; 0 where too few servers were judged.
+type norm struct{ latency, failures float64 }
+
 // place is the part of a pool that lies in one zone.
 type place struct{ pool, zone string }
 
 // updateGroup ejects outliers of one group, the worst first, up to the share,
 // and adds the ejected ones to out.
-func (d *Detector) updateGroup(now time.Time, group []Member, median float64, out map[machine.ID]bool) {
+func (d *Detector) updateGroup(now time.Time, group []Member, usual norm, out map[machine.ID]bool) {
 	allowed := int(d.settings.MaxShare * float64(len(group)))
 	var suspects []suspect
 	for _, m := range group {
@@ -171,7 +183,7 @@
 			suspects = append(suspects, suspect{id: m.ID, stats: st, score: st.failures + 1})
 			continue
 		}
-		if score := d.score(st, median); score > 0 {
+		if score := d.score(st, usual); score > 0 {
 			suspects = append(suspects, suspect{id: m.ID, stats: st, score: score})
 		}
 	}
@@ -202,15 +214,15 @@
 }
 
 // score is how far a server is over the bounds; 0 when it is within them.
-func (d *Detector) score(st *stats, median float64) float64 {
+func (d *Detector) score(st *stats, usual norm) float64 {
 	if st.samples < minSamples {
 		return 0
 	}
-	if st.failures > d.settings.FailureShare {
+	if st.failures > max(d.settings.FailureShare, failureFactor*usual.failures) {
 		return 1 + st.failures
 	}
-	if median > 0 && st.latency > d.settings.SlowFactor*median {
-		return 1 - median/st.latency
+	if usual.latency > 0 && st.latency > d.settings.SlowFactor*usual.latency {
+		return 1 - usual.latency/st.latency
 	}
 	return 0
 }
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -63,6 +63,29 @@
 
 // A server that turns slow is ejected, comes back after a time, and stays out
 // longer each time it is slow again.
+// Where all servers fail alike, as by a fault behind them, none is ejected: fewer
+// servers would not fail less. One that fails while the others do not is.
+func TestServersThatFailAlikeStayIn(t *testing.T) {
+	observe := func(d *outlier.Detector, all []outlier.Member, failing int) {
+		for round := range 40 {
+			for i, m := range all {
+				d.Observe(outlier.Sample{Server: m.ID, Failed: i < failing && (round+i)%2 == 0})
+			}
+		}
+	}
+	all := members(1, 6)
+	d := outlier.New(outlier.Settings{FailureShare: 0.25, MaxShare: 0.5})
+	observe(d, all, len(all))
+	if out := d.Update(epoch, all); len(out) != 0 {
+		t.Errorf("%d of %d servers that fail alike are out", len(out), len(all))
+	}
+	d = outlier.New(outlier.Settings{FailureShare: 0.25, MaxShare: 0.5})
+	observe(d, all, 2)
+	if out := d.Update(epoch, all); !out[all[0].ID] || !out[all[1].ID] || len(out) != 2 {
+		t.Errorf("%v are out, want the two that fail", out)
+	}
+}
+
 func TestSlowServerStaysOutLongerEachTime(t *testing.T) {
 	d := outlier.New(outlier.Settings{BaseEjection: 10 * time.Second})
 	all := members(1, 6)
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -57,8 +57,14 @@
 	return r.Workspace.Name
 }
 
-// Priority ranks the request among those of its pool: 0 goes first.
-func (r *Request) Priority() int { return r.Route.Priority }
+// Priority ranks the request among those of its pool: 0 goes first. A workspace's
+// goes before the route's.
+func (r *Request) Priority() int {
+	if r.Workspace != nil && r.Workspace.HasPriority {
+		return r.Workspace.Priority
+	}
+	return r.Route.Priority
+}
 
 // Attempt is one send of a request to a server.
 type Attempt struct {
