upstream, serve: connections to a server are bounded by the instance's part of what it accepts

Cause: max_conns was decoded and not used; a burst over all instances could open more than a server accepts, which resets the rest, and what must not repeat may have run then. Change: an instance opens max_conns over the number of instances; idle connections make room, and a request that finds none is not sent and goes to another server, which is not a repeat. Tests: TestConnectionsToAServerAreBounded, TestServerWithoutAFreeConnectionIsPassedOver (neither compiles without the change).

--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -215,6 +215,7 @@
 	defer func() { job.Done(time.Now()) }()
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, After: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
+		MaxConnections: r.maxConnections(),
 	})
 	if err != nil {
 		return false, r.unanswered(c.server, err)
@@ -237,6 +238,16 @@
 	return r.relayPlain(answer, c.server)
 }
 
+// maxConnections is this instance's part of the connections that a server of the
+// pool accepts of all instances.
+func (r *run) maxConnections() int {
+	pool := r.server.Picture().Config.Pools[r.pool]
+	if pool == nil || pool.MaxConns <= 0 {
+		return 0
+	}
+	return max(pool.MaxConns/max(r.server.Instances(), 1), 1)
+}
+
 // errSilent ends an attempt whose server did not begin to answer.
 var errSilent = errors.New("the server did not begin to answer in time")
 
@@ -257,6 +268,9 @@
 // unanswered records an attempt without an answer.
 func (r *run) unanswered(server *fleet.Server, err error) error {
 	now := time.Now()
+	if errors.Is(err, ErrNoConnection) {
+		return errors.Join(err, errUnreachable)
+	}
 	if contract.VerdictOf(err) == contract.NotRun {
 		r.server.suspect(server.ID, now)
 		return errors.Join(err, errUnreachable)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -98,7 +98,7 @@
 		})
 	}
 	picture := &fleet.Picture{
-		Config:  fleet.NewConfig(1, nil, []*fleet.Pool{{Name: "p"}}, nil, fleet.Limits{}),
+		Config:  fleet.NewConfig(1, nil, []*fleet.Pool{{Name: "p", MaxConns: 100}}, nil, fleet.Limits{}),
 		Servers: map[string][]*fleet.Server{"p": list},
 	}
 	log := logrus.New()
@@ -111,6 +111,28 @@
 	return f
 }
 
+// A server whose connections are all in use is passed over, and not suspected.
+func TestServerWithoutAFreeConnectionIsPassedOver(t *testing.T) {
+	f := newFixture(3, func(n int, _ context.Context, _ *Attempt) (*Answer, error) {
+		if n == 0 {
+			err := &contract.Error{Kind: contract.KindOverloaded, Verdict: contract.NotRun, Message: "full"}
+			return nil, errors.Join(err, ErrNoConnection)
+		}
+		return ok("done"), nil
+	})
+	caller := &fakeCaller{}
+	if err := f.Serve(t.Context(), &Request{ID: "1", Route: &once, Arrived: time.Now()}, caller); err != nil || caller.body.String() != "done" {
+		t.Fatalf("answer %q, %v", caller.body.String(), err)
+	}
+	first := f.backend.attempts[0]
+	if first.Server.ID == f.backend.attempts[1].Server.ID || f.suspected(first.Server.ID, time.Now()) {
+		t.Error("the server was asked again or is suspected")
+	}
+	if first.MaxConnections != 14 {
+		t.Errorf("%d connections allowed, want the 14 that are a seventh of 100", first.MaxConnections)
+	}
+}
+
 // kinds of routes.
 var (
 	once      = fleet.Route{Name: "once", Targets: []fleet.Target{{Pool: "p", Weight: 1}}, MaxAttempts: 2}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -74,6 +75,8 @@
 	After string
 	// Deadline is when the server may stop its work; zero is never.
 	Deadline time.Time
+	// MaxConnections bounds this instance's connections to the server; 0 does not.
+	MaxConnections int
 	// Continue names the memory of the stopped run that the attempt goes on with;
 	// its ID is empty for one that starts anew.
 	Continue Handle
@@ -100,6 +103,10 @@
 // Load is what a server says of its work beside an answer.
 type Load struct{ Running, Waiting, Slots int }
 
+// ErrNoConnection means that all connections that this instance may have to a
+// server are in use: nothing was sent.
+var ErrNoConnection = errors.New("no connection to the server is free")
+
 // Backend sends attempts to servers. Errors are *contract.Error, whose verdict
 // says whether the attempt may have run.
 type Backend interface {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,6 +25,8 @@
 	Body   []byte
 	// Once marks a request that must not be repeated.
 	Once bool
+	// MaxOpen bounds the connections to the address; 0 does not.
+	MaxOpen int
 	// Belongs reports whether an answer is the answer to this request; an answer
 	// that is not is skipped.
 	Belongs func(*http.Response) bool
@@ -40,7 +42,10 @@
 // Do sends a call once and returns the answer's head; the body is read from
 // it. Errors are *contract.Error. The end of ctx closes the connection.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
-	c, err := p.take(ctx, call.Address, call.Once)
+	c, err := p.take(ctx, call)
+	if errors.Is(err, ErrConnectionLimit) {
+		return nil, &contract.Error{Kind: contract.KindOverloaded, Verdict: contract.NotRun, Message: err.Error(), Err: err}
+	}
 	if err != nil {
 		return nil, failure(contract.NotRun, "connect to the server", err)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -57,19 +58,32 @@
 	return p.open[address]
 }
 
+// ErrConnectionLimit means that all connections that may be opened to a server
+// are in use.
+var ErrConnectionLimit = errors.New("all connections to the server are in use")
+
 // take returns a connection that may carry a request: the idle one used last,
-// or a new one. once asks for one that the server is hardly closing.
-func (p *Pool) take(ctx context.Context, address string, once bool) (*conn, error) {
+// or a new one. A request that must not be repeated gets one that the server is
+// hardly closing.
+func (p *Pool) take(ctx context.Context, call *Call) (*conn, error) {
 	for {
-		c := p.pop(address, once)
+		c := p.pop(call.Address, call.Once)
 		if c == nil {
-			return p.dial(ctx, address)
+			break
 		}
 		if c.acquire() {
 			return c, nil
 		}
-		p.close(address, c)
+		p.close(call.Address, c)
+	}
+	for !p.reserve(call.Address, call.MaxOpen) {
+		stale := p.pop(call.Address, false)
+		if stale == nil {
+			return nil, ErrConnectionLimit
+		}
+		p.close(call.Address, stale)
 	}
+	return p.dial(ctx, call.Address)
 }
 
 func (p *Pool) pop(address string, once bool) *conn {
@@ -88,8 +102,19 @@
 	return c
 }
 
+// reserve counts a connection that is to be opened, unless limit are open.
+func (p *Pool) reserve(address string, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit > 0 && p.open[address] >= limit {
+		return false
+	}
+	p.open[address]++
+	return true
+}
+
+// dial opens a connection that was reserved.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	p.count(address, 1)
 	dialer := net.Dialer{
 		Timeout:         p.settings.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -313,3 +314,52 @@
 		t.Error("an idle connection is still open after its time")
 	}
 }
+
+// A server's connections are bounded: what finds none is not sent, and may be sent
+// elsewhere; a connection that is idle makes room.
+func TestConnectionsToAServerAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		<-hold
+		answer(conn, r.Header.Get("Id"), "done")
+		return true
+	})
+	settings := DefaultSettings
+	settings.OnceIdleLimit = 0
+	p := NewPool(settings)
+	send := func(id string) error {
+		c := call(s.address, id, nil)
+		c.MaxOpen = 2
+		resp, err := p.Do(t.Context(), c)
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		return err
+	}
+	results := make(chan error, 2)
+	for _, id := range []string{"1", "2"} {
+		go func() { results <- send(id) }()
+	}
+	for s.requests.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	err := send("3")
+	if !errors.Is(err, ErrConnectionLimit) || contract.VerdictOf(err) != contract.NotRun {
+		t.Errorf("third request: %v, want one that was not run for want of a connection", err)
+	}
+	close(hold)
+	for range 2 {
+		if err := <-results; err != nil {
+			t.Error(err)
+		}
+	}
+	// Both connections are idle, and too old for a request that must not be repeated.
+	if err := send("4"); err != nil {
+		t.Errorf("request beside idle connections: %v", err)
+	}
+	if n := p.Open(s.address); n > 2 {
+		t.Errorf("%d connections are open, want at most 2", n)
+	}
+}
