--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -43,36 +43,23 @@
 	log := telemetry.NewLoggerTo(out, name, settings.Name, "info")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	go logReloads(log)
-	if err := newInstance(settings, log).Run(ctx); err != nil {
+	instance := newInstance(settings, log)
+	go followSettings(ctx, settings, instance, log)
+	if err := instance.Run(ctx); err != nil {
 		log.WithError(err).WithField("event", "failed").Error("stopped with an error")
 		return process.ExitFailure
 	}
 	return process.ExitOK
 }
 
-// logReloads notes the signal that the settings file has changed; an instance
-// takes new settings at its next start.
-func logReloads(log *logrus.Entry) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
-		if _, err := platform.LoadSettings(); err != nil {
-			log.WithError(err).WithField("event", "reload").Error("changed settings are not valid")
-			continue
-		}
-		log.WithField("event", "reload").Info("settings read again; addresses and bounds apply from the next start")
-	}
-}
-
 func newInstance(s platform.Settings, log *logrus.Entry) *entry.Instance {
 	connections := upstream.NewPool(upstream.DefaultSettings)
 	client := platform.NewStore(s.StoreAddress, storeTimeout)
 	return entry.New(entry.Options{
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
-			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, GracePeriod: s.GracePeriod,
-			RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, QuotaTolerance: s.QuotaTolerance, UsageWindow: s.UsageWindow,
+			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress,
+			RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Bounds: boundsOf(s),
 		},
 		Store:   client,
 		Backend: platform.NewBackend(connections),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,14 +38,20 @@
 	ReadinessAddress string
 	PeersAddress     string
 	MetricsAddress   string
+	RetryWindow      time.Duration
+	UsageWindow      time.Duration
+	Bounds           Bounds
+}
+
+// Bounds are the settings that a running instance takes anew.
+type Bounds struct {
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
-	RetryRatio  float64
-	RetrySlack  float64
-	RetryWindow time.Duration
+	// RetryRatio and RetrySlack bound the repeated sends of all instances.
+	RetryRatio float64
+	RetrySlack float64
 	// QuotaTolerance is what is allowed beyond the workspaces' quotas.
 	QuotaTolerance quota.Tolerance
-	UsageWindow    time.Duration
 }
 
 // Front answers callers.
@@ -118,6 +124,7 @@
 	// fedBytes is what the last batch for the zone took of the link.
 	fedBytes atomic.Int64
 
+	bounds      atomic.Pointer[Bounds]
 	incarnation uint64
 	sequence    atomic.Uint64
 	stopping    atomic.Bool
@@ -142,13 +149,14 @@
 	now := time.Now()
 	i := &Instance{
 		Options: o, keeper: newPictureKeeper(o.Log), board: forecast.NewBoard(),
-		ledger:  quota.New(o.Settings.QuotaTolerance, now),
+		ledger:  quota.New(o.Settings.Bounds.QuotaTolerance, now),
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0, retryWindow(o.Settings)),
 		demand:      demand.New(),
 		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
 	}
+	i.bounds.Store(&o.Settings.Bounds)
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Picture: i.keeper.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: usageByClock{i},
 		Board: i.board, Budget: i.budget, Demand: i.demand, Log: o.Log,
@@ -334,5 +342,18 @@
 	}
 	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": before, "now": n}).Info("number of instances changed")
 	i.ledger.SetInstances(n, i.newsAge())
-	i.budget.Set(budgetShare*i.Settings.RetryRatio, budgetShare*i.Settings.RetrySlack/float64(n))
+	i.shareRetries()
+}
+
+// shareRetries sets this instance's part of the retry budget.
+func (i *Instance) shareRetries() {
+	b := i.bounds.Load()
+	i.budget.Set(budgetShare*b.RetryRatio, budgetShare*b.RetrySlack/float64(max(i.count(), 1)))
+}
+
+// SetBounds puts changed settings in force.
+func (i *Instance) SetBounds(b Bounds) {
+	i.bounds.Store(&b)
+	i.ledger.SetTolerance(b.QuotaTolerance)
+	i.shareRetries()
 }
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -15,6 +15,7 @@
 
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/serve"
 	"kumquatyard/internal/store"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -157,3 +158,25 @@
 		t.Errorf("members = %v, want b alone", members)
 	}
 }
+
+// Changed bounds are in force without a start.
+func TestChangedBoundsAreInForce(t *testing.T) {
+	i := New(Options{
+		Settings: Settings{RetryWindow: 10 * time.Second, UsageWindow: time.Second, Bounds: Bounds{RetrySlack: 10}},
+		Front:    func(*serve.Server, func() *fleet.Picture) Front { return nil },
+		Log:      quietLog(),
+	})
+	i.setInstances(1)
+	now := time.Now()
+	allowed := func() (n int) {
+		for i.budget.Take("p", now) {
+			n++
+		}
+		return n
+	}
+	before := allowed()
+	i.SetBounds(Bounds{RetrySlack: 30})
+	if more := allowed(); before != 7 || more != 14 {
+		t.Errorf("%d repeats allowed by a slack of 10, and %d more by one of 30; want 7 and 14", before, more)
+	}
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -21,14 +21,14 @@
 // stop leaves the balancer's rotation, then refuses new work, and lets the
 // accepted requests finish within the grace period.
 func (i *Instance) stop() {
-	begun := time.Now()
+	begun, grace := time.Now(), i.bounds.Load().GracePeriod
 	i.stopping.Store(true)
-	i.Log.WithFields(logrus.Fields{"event": "stopping", "running": i.core.Running(), "grace_ms": i.Settings.GracePeriod.Milliseconds()}).Info("stop signal; leaving the rotation")
+	i.Log.WithFields(logrus.Fields{"event": "stopping", "running": i.core.Running(), "grace_ms": grace.Milliseconds()}).Info("stop signal; leaving the rotation")
 	time.Sleep(leaveRotation)
 	i.front.CloseConnections()
 	time.Sleep(lastWork - leaveRotation)
 	i.front.RefuseWork()
-	end := begun.Add(time.Duration(graceShare * float64(i.Settings.GracePeriod)))
+	end := begun.Add(time.Duration(graceShare * float64(grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := i.front.Shutdown(ctx); err != nil {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -117,6 +117,13 @@
 	}
 }
 
+// SetTolerance changes what is allowed beyond the quotas.
+func (l *Ledger) SetTolerance(t Tolerance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tolerance = t
+}
+
 // SetInstances sets the number of instances that share the quotas, and the
 // longest time between the reports of one of them.
 func (l *Ledger) SetInstances(n int, interval time.Duration) {
