duty: a holder that starts again takes its duty at once; usage: a new holder reports before it waits

Change: a lease held under the own name is given up at the start, as a name is that of one process at a time; the first round of reports comes at once. Tests: TestRestartedHolderTakesItsDutyAgain (red without it), TestNewHolderReportsAtOnce (red before: the first round came after half a second).

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -82,7 +82,7 @@
 	calls := platform.NewDuties(s.DutiesAddress, s.Name, dutyTimeout)
 	job := &duty.Duty{
 		Name: "duties", Holder: s.Name, KV: platform.DutyStore{Store: client}, Log: log,
-		Settings:  duty.Settings{TTL: s.LeaseTTL, Retry: s.LeaseTTL / 4, Fenced: s.FencingChecked},
+		Settings:  duty.Settings{TTL: s.LeaseTTL, Retry: s.LeaseTTL / 4, Fenced: s.FencingChecked, HolderIsOne: true},
 		Candidate: d.Candidate,
 		Lead: func(ctx context.Context, lease *duty.Lease) error {
 			d.Holding(true)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -48,6 +48,9 @@
 	Fenced bool
 	// Retry is the mean time between looks at a duty held by another.
 	Retry time.Duration
+	// HolderIsOne is set when a Holder's name is that of one process at a time. A
+	// lease held under the own name is then of an earlier start, which has ended.
+	HolderIsOne bool
 }
 
 // DefaultSettings renew a lease of 10 s three times in its life.
@@ -155,9 +158,16 @@
 // try takes the duty when nobody holds it and does it until it is lost.
 func (d *Duty) try(ctx context.Context) error {
 	entry, err := timed(ctx, func(ctx context.Context) (platform.Entry, error) { return d.KV.Get(ctx, d.lockKey()) })
-	if err != nil || entry.Session != "" {
+	if err != nil {
 		return err
 	}
+	if entry.Session != "" {
+		if !d.Settings.HolderIsOne || string(entry.Value) != d.Holder {
+			return nil
+		}
+		d.Log.WithFields(logrus.Fields{"event": "duty_resumed", "duty": d.Name}).Info("the lease is that of an earlier start of this instance; it is given up")
+		d.destroy(ctx, entry.Session)
+	}
 	start := time.Now()
 	session, err := timed(ctx, func(ctx context.Context) (string, error) {
 		return d.KV.CreateSession(ctx, d.Name, d.Settings.TTL)
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -353,3 +353,63 @@
 		})
 	}
 }
+
+// killedKV is the service as a process sees it that is killed: its calls end.
+type killedKV struct {
+	*fakeKV
+	killed *atomic.Bool
+}
+
+func (k killedKV) RenewSession(ctx context.Context, id string) error {
+	if k.killed.Load() {
+		return errDown
+	}
+	return k.fakeKV.RenewSession(ctx, id)
+}
+
+func (k killedKV) DestroySession(ctx context.Context, id string) error {
+	if k.killed.Load() {
+		return errDown
+	}
+	return k.fakeKV.DestroySession(ctx, id)
+}
+
+// A holder that is killed and starts again takes its duty without waiting for its
+// own lease to lapse, with a higher fencing number; another process waits.
+func TestRestartedHolderTakesItsDutyAgain(t *testing.T) {
+	for name, resumes := range map[string]bool{"a": true, "b": false} {
+		synctest.Test(t, func(t *testing.T) {
+			kv := newFakeKV()
+			start := func(ctx context.Context, holder string, kv KV, fence *atomic.Uint64) {
+				d := newDuty(kv, holder, func(ctx context.Context, lease *Lease) error {
+					fence.Store(lease.Fence())
+					<-ctx.Done()
+					return nil
+				})
+				d.Settings = Settings{TTL: 3 * time.Second, Retry: 500 * time.Millisecond, Fenced: true, HolderIsOne: true}
+				_ = d.Run(ctx)
+			}
+			var killed atomic.Bool
+			var before, after atomic.Uint64
+			ctx, kill := context.WithCancel(t.Context())
+			go start(ctx, "a", killedKV{kv, &killed}, &before)
+			time.Sleep(5 * time.Second)
+			killed.Store(true)
+			kill()
+			synctest.Wait()
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go start(ctx, name, kv, &after)
+			time.Sleep(100 * time.Millisecond)
+			if got := after.Load() == before.Load()+1; got != resumes || before.Load() != 1 {
+				t.Errorf("%s: fencing numbers %d and %d a tenth of a second after the restart of a", name, before.Load(), after.Load())
+			}
+			time.Sleep(4 * time.Second)
+			if after.Load() != 2 {
+				t.Errorf("%s: fencing number %d after the lease lapsed, want 2", name, after.Load())
+			}
+			stop()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -67,23 +67,31 @@
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
 		if err := check(); err != nil {
 			return err
 		}
-		if err := r.load(ctx); err != nil {
-			r.Log.WithError(err).WithField("event", "usage_checkpoint").Info("the former holder's counts cannot be read yet")
-			continue
-		}
-		if err := r.reportDue(ctx, fence); err != nil {
+		if err := r.round(ctx, fence); err != nil {
 			return err
 		}
-		r.save(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// round reports what is due. It fails when the duty is another's.
+func (r *Reporter) round(ctx context.Context, fence uint64) error {
+	if err := r.load(ctx); err != nil {
+		r.Log.WithError(err).WithField("event", "usage_checkpoint").Info("the former holder's counts cannot be read yet")
+		return nil
+	}
+	if err := r.reportDue(ctx, fence); err != nil {
+		return err
 	}
+	r.save(ctx)
+	return nil
 }
 
 // reportDue reports the windows that ended. It fails when the duty is another's.
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -306,6 +306,24 @@
 	})
 }
 
+// A new holder reports what is due before it waits for anything: the last moment of a
+// window may have come.
+func TestNewHolderReportsAtOnce(t *testing.T) {
+	f := newFixture()
+	c := New(length)
+	w := c.At(f.now)
+	r := f.reporter(c)
+	f.now = c.End(w).Add(settleTime)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := r.Run(ctx, 1, func() error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.dest.reports[w]) != 1 {
+		t.Errorf("the window was reported %d times in the first round, want once", len(f.dest.reports[w]))
+	}
+}
+
 func TestFencedHolderStops(t *testing.T) {
 	f := newFixture()
 	f.dest.fenced = true
