serve: the log of a request says how its answer was framed and what was left of an incomplete event

The logs did not tell a stream without length and chunks that ended inside an event from one that ended between two. No decision changes.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -39,6 +39,7 @@
 	r.attempts++
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
+	r.framing, r.incompleteBytes = answer.Framing, 0
 	s.heed(answer, c.server, r.req.ID)
 	if answer.Load != nil {
 		s.Predictor.RecordServerReport(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -10,6 +10,7 @@
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/frame"
 	"kumquatyard/internal/machine"
 )
 
@@ -51,6 +52,10 @@
 	firstByte time.Duration
 	// lastEvent is the id of the last event that was forwarded to the caller.
 	lastEvent string
+	// framing is how the server of the last answer marks its end, and incompleteBytes the
+	// number of bytes that it sent after the last complete event.
+	framing         frame.Framing
+	incompleteBytes int
 	// handle names the KV cache that the next attempt continues with.
 	handle Handle
 }
@@ -225,6 +230,12 @@
 		"config": r.server.Snapshot().Config.Version, "report_age_ms": time.Since(c.server.ReportedAt).Milliseconds(),
 		"active": c.estimate.Work.Active,
 	}
+	if r.attempts > 0 {
+		f["framing"] = r.framing
+	}
+	if r.incompleteBytes > 0 {
+		f["incomplete_event_bytes"] = r.incompleteBytes
+	}
 	if r.req.Prompt != nil {
 		f["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
 		f["cached_tokens"] = c.estimate.Cached
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -18,6 +18,8 @@
 	pending []byte
 	chunk   []byte
 	err     error
+	// incomplete is the number of bytes after the last complete event, set at the end.
+	incomplete int
 }
 
 const (
@@ -56,6 +58,7 @@
 
 // rest returns the remaining bytes after a regular end of the stream.
 func (e *eventReader) rest() ([]byte, error) {
+	e.incomplete = len(e.pending)
 	if errors.Is(e.err, io.EOF) {
 		rest := e.pending
 		e.pending = nil
@@ -98,6 +101,7 @@
 	registered := false
 	for {
 		part, err := events.next()
+		r.incompleteBytes = events.incomplete
 		if len(part) > 0 {
 			stopTimer()
 			job.FirstToken(time.Now())
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -13,6 +13,7 @@
 
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/frame"
 )
 
 // Request is one request of a caller.
@@ -94,7 +95,9 @@
 	Header http.Header
 	// Length is the length of the body, -1 when it is unknown.
 	Length int64
-	Body   io.ReadCloser
+	// Framing is how the server marks the end of the body.
+	Framing frame.Framing
+	Body    io.ReadCloser
 	// Refused is set when the server states that it did not run the request.
 	Refused bool
 	// Misdirected is set when the address now belongs to another server.
