frame: a stream that ends inside an event, or without a frame before its first one, has broken off

Cause: a body without length and chunks ends with its connection, for which the parser reports a regular end. eventReader took any regular end as the end of the stream and forwarded what was left. Class: the end of a connection taken as proof that an answer is whole. Fix: whether a stream is whole is decided in one package, internal/frame, from its framing and its last event; bytes of an incomplete event are never forwarded, so that a resumption, or a run that was moved, starts at an event's boundary. TestOnlySafeRequestsAreRepeated answered a stream with "fine", which is no event; it answers with one now, with the same checks.

--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -216,7 +216,7 @@
 				if n == 0 {
 					return tt.first()
 				}
-				return ok("fine"), nil
+				return ok("data: fine\n\n"), nil
 			})
 			err := f.Serve(t.Context(), request(tt.route), &fakeCaller{})
 			if got := len(f.backend.attempts); got != tt.attempts {
@@ -389,7 +389,7 @@
 }
 
 func TestLeavingServersAreNotChosen(t *testing.T) {
-	f := newFixture(2, func(int, context.Context, *Attempt) (*Answer, error) { return ok("fine"), nil })
+	f := newFixture(2, func(int, context.Context, *Attempt) (*Answer, error) { return ok("data: fine\n\n"), nil })
 	f.Snapshot().Servers["p"][0].Lifecycle = machine.Leaving
 	for range 20 {
 		if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
@@ -426,7 +426,7 @@
 // A server whose lease expired while the store was unavailable may be gone, so it is
 // used only when there is no other.
 func TestServersWithExpiredLeasesAreALastResort(t *testing.T) {
-	f := newFixture(2, func(int, context.Context, *Attempt) (*Answer, error) { return ok("fine"), nil })
+	f := newFixture(2, func(int, context.Context, *Attempt) (*Answer, error) { return ok("data: fine\n\n"), nil })
 	servers := f.Snapshot().Servers["p"]
 	servers[0].ExpiryGraceUntil = time.Now().Add(time.Minute)
 	for range 20 {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -3,81 +3,15 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/frame"
 )
 
-// eventReader splits a stream into complete events.
-type eventReader struct {
-	source  io.Reader
-	pending []byte
-	chunk   []byte
-	err     error
-	// incomplete is the number of bytes after the last complete event, set at the end.
-	incomplete int
-}
-
-const (
-	readChunkBytes = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
-)
-
-var errEventTooLong = fmt.Errorf("event of the stream exceeds %d bytes", maxEventBytes)
-
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: source, chunk: make([]byte, readChunkBytes)}
-}
-
-// next returns one or more complete events as soon as they arrive. At the end of the
-// stream it returns the remaining bytes and io.EOF. After a failure it drops an
-// incomplete event.
-func (e *eventReader) next() ([]byte, error) {
-	for {
-		if e.err != nil {
-			return e.rest()
-		}
-		n, err := e.source.Read(e.chunk)
-		e.pending = append(e.pending, e.chunk[:n]...)
-		e.err = err
-		if end := lastEventEnd(e.pending); end > 0 {
-			events := bytes.Clone(e.pending[:end])
-			e.pending = append(e.pending[:0], e.pending[end:]...)
-			return events, nil
-		}
-		if len(e.pending) > maxEventBytes {
-			e.err = errEventTooLong
-		}
-	}
-}
-
-// rest returns the remaining bytes after a regular end of the stream.
-func (e *eventReader) rest() ([]byte, error) {
-	e.incomplete = len(e.pending)
-	if errors.Is(e.err, io.EOF) {
-		rest := e.pending
-		e.pending = nil
-		return rest, e.err
-	}
-	return nil, e.err
-}
-
-// lastEventEnd returns the length of the complete events at the start of b.
-func lastEventEnd(b []byte) int {
-	end := 0
-	for _, separator := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(b, separator); i >= 0 {
-			end = max(end, i+len(separator))
-		}
-	}
-	return end
-}
-
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
 	id := ""
@@ -97,11 +31,10 @@
 		return false, r.recordUnauthenticated()
 	}
 	a.Length = -1
-	events := newEventReader(a.Body)
+	events := frame.NewEvents(a.Body, a.Framing)
 	registered := false
 	for {
-		part, err := events.next()
-		r.incompleteBytes = events.incomplete
+		part, err := events.Next()
 		if len(part) > 0 {
 			stopTimer()
 			job.FirstToken(time.Now())
@@ -124,6 +57,7 @@
 			return true, r.begin(a)
 		}
 		if err != nil {
+			r.incompleteBytes = events.IncompleteBytes()
 			r.mayHaveRun = true
 			if r.ctx.Err() == nil {
 				r.server.observe(server.ID, true)
