--- a/internal/frame/events_test.go
+++ b/internal/frame/events_test.go
@@ -1,8 +1,10 @@
 package frame
 
 import (
+	"bufio"
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -116,3 +118,28 @@
 		})
 	}
 }
+
+func TestFramingOfAnswers(t *testing.T) {
+	tests := map[string]struct {
+		head, method string
+		want         Framing
+	}{
+		"length":         {"200 OK\r\nContent-Length: 3", http.MethodGet, Length},
+		"chunks":         {"200 OK\r\nTransfer-Encoding: chunked", http.MethodGet, Chunks},
+		"connection":     {"200 OK", http.MethodPost, Close},
+		"answer to HEAD": {"200 OK", http.MethodHead, Length},
+		"no content":     {"204 No Content", http.MethodPost, Length},
+		"not modified":   {"304 Not Modified", http.MethodGet, Length},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 "+tt.head+"\r\n\r\n")), &http.Request{Method: tt.method})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := Of(resp); got != tt.want {
+				t.Errorf("framing %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -2,6 +2,8 @@
 // the server chose and, for a stream of events, from its last event.
 package frame
 
+import "net/http"
+
 // Framing is how the end of an answer's body is marked.
 type Framing int
 
@@ -15,12 +17,13 @@
 	Close
 )
 
-// Of returns the framing of a body whose header gives length bytes, -1 if it gives none.
-func Of(length int64, chunked bool) Framing {
+// Of returns the framing of an answer. One that has no body, by its status or its
+// request's method, has the length 0.
+func Of(resp *http.Response) Framing {
 	switch {
-	case chunked:
+	case len(resp.TransferEncoding) > 0:
 		return Chunks
-	case length >= 0:
+	case resp.ContentLength >= 0 || resp.StatusCode == http.StatusNotModified || resp.Request != nil && resp.Request.Method == http.MethodHead:
 		return Length
 	default:
 		return Close
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -17,6 +17,7 @@
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/frame"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/retry"
 )
@@ -43,7 +44,7 @@
 // truncatedAfter returns an answer whose connection breaks after body.
 func truncatedAfter(body string) *Answer {
 	a := ok(body)
-	a.Length = -1
+	a.Framing = frame.Chunks
 	a.Body = io.NopCloser(io.MultiReader(strings.NewReader(body), failingReader{}))
 	return a
 }
@@ -59,7 +60,7 @@
 	body   strings.Builder
 }
 
-func (c *fakeCaller) Begin(status int, h http.Header, _ int64) error {
+func (c *fakeCaller) Begin(status int, h http.Header, _ frame.Framing, _ int64) error {
 	c.status, c.header = status, h
 	return nil
 }
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -30,8 +30,10 @@
 	if !a.Authentic {
 		return false, r.recordUnauthenticated()
 	}
-	a.Length = -1
 	events := frame.NewEvents(a.Body, a.Framing)
+	if a.Framing == frame.Length {
+		a.Framing = frame.Chunks // another server may send the rest
+	}
 	registered := false
 	for {
 		part, err := events.Next()
