upstream: the head of an answer is bounded in bytes and in time

What callers would see: a server that sends bytes without end where a head is due made the instance keep all of them until the request's deadline, or until its memory was used up. Cause: http.ReadResponse bounds neither a line nor the number of lines. Class: reading from a server without a bound of our own. Fix: a head has 256 KB and, from its first byte on, 5 s; then the connection is closed with the verdict that the request may have run.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -12,14 +14,43 @@
 	// maxSkippedBytes bounds the body of an answer to another request that is read in
 	// order to skip it.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes and headTime bound the heads of the answers to a request, the latter
+	// from the first byte on.
+	maxHeadBytes = 256 << 10
+	headTime     = 5 * time.Second
 )
 
+// errHeadTooLong means that a server sent more bytes than a head may have.
+var errHeadTooLong = fmt.Errorf("the head of the answer exceeds %d bytes", maxHeadBytes)
+
+// headLimit reads from a connection, at most as many bytes as are left of a head's while
+// one is read.
+type headLimit struct {
+	io.Reader
+	reading bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.reading {
+		return h.Reader.Read(p)
+	}
+	if h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.Reader.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
 // conn is one connection to a server. Its own goroutine waits for the first byte of
 // each answer, so that data or an end of the connection that arrives while it is idle
 // is detected before it is used again.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	// ready receives nil when an answer's first byte arrives, or the read error.
 	ready chan error
 	// exchangeDone tells the reading goroutine that an exchange is over.
@@ -38,9 +69,11 @@
 }
 
 func newConn(raw net.Conn) *conn {
+	head := &headLimit{Reader: raw}
 	c := &conn{
 		Conn:         raw,
-		reader:       bufio.NewReaderSize(raw, readBufferBytes),
+		reader:       bufio.NewReaderSize(head, readBufferBytes),
+		head:         head,
 		ready:        make(chan error, 1),
 		exchangeDone: make(chan struct{}, 1),
 		done:         make(chan struct{}),
@@ -82,6 +115,18 @@
 	return true
 }
 
+// beginHead bounds what is read until endHead, in bytes and in time. The goroutine of the
+// connection must not be reading.
+func (c *conn) beginHead() error {
+	c.head.reading, c.head.left = true, maxHeadBytes
+	return c.SetReadDeadline(time.Now().Add(headTime))
+}
+
+func (c *conn) endHead() error {
+	c.head.reading = false
+	return c.SetReadDeadline(time.Time{})
+}
+
 // acquire marks an idle connection as busy. It returns false if the connection is
 // unusable.
 func (c *conn) acquire() bool {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -133,12 +133,30 @@
 	b.WriteString("\r\n")
 }
 
+// readHead waits for the head of one answer and reads it, within the bounds of a head.
+func (x *exchange) readHead() (*http.Response, error) {
+	if _, err := x.conn.reader.Peek(1); err != nil {
+		return nil, failure(contract.MayHaveRun, "the server closed the connection without an answer", err)
+	}
+	if err := x.conn.beginHead(); err != nil {
+		return nil, failure(contract.MayHaveRun, "the connection to the server ended", err)
+	}
+	resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+	if err != nil {
+		return nil, failure(contract.MayHaveRun, "the server's answer is not HTTP", err)
+	}
+	if err := x.conn.endHead(); err != nil {
+		return nil, failure(contract.MayHaveRun, "the connection to the server ended", err)
+	}
+	return resp, nil
+}
+
 // read reads the answer's header. It skips answers to other requests.
 func (x *exchange) read() (*http.Response, error) {
 	for range maxSkippedAnswers + 1 {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+		resp, err := x.readHead()
 		if err != nil {
-			return nil, failure(contract.MayHaveRun, "the server's answer is not HTTP", err)
+			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
