upstream: an answer to another request that is longer than what is skipped ends the connection

What callers could see: bytes from the middle of another answer's body, taken as the head and body of their own answer. Cause: the skip stopped after 1 MB without an error, and the next head was read from there. Class: a limited read taken for a whole one. Before: TestAnswerInsideTheBodyOfAnotherIsNotTaken failed ("the body forged was taken").

--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -68,3 +69,17 @@
 		})
 	}
 }
+
+// Guards against an answer to another request whose body has no end, or a larger one than
+// is skipped: what stands in it must not be taken as the answer.
+func TestAnswerInsideTheBodyOfAnotherIsNotTaken(t *testing.T) {
+	inner := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nforged"
+	s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		padding := strings.Repeat("x", maxSkippedBytes)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: %d\r\n\r\n%s%s", len(padding)+len(inner)+1<<20, padding, inner)
+		return false
+	})
+	if body, err := get(t, NewPool(DefaultSettings), call(s.address, "1", nil)); err == nil {
+		t.Errorf("the body %q of another answer was taken as the answer", body)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/frame"
 )
 
 // Call is a request to one server.
@@ -165,8 +166,8 @@
 			x.prepare(resp)
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes)); err != nil {
-			return nil, failure(contract.MayHaveRun, "an answer to another request broke off", err)
+		if err := frame.Discard(resp.Body, maxSkippedBytes); err != nil {
+			return nil, failure(contract.MayHaveRun, "an answer to another request could not be skipped", err)
 		}
 	}
 	return nil, failure(contract.MayHaveRun, "the server sent answers to other requests only", nil)
