httpcall: an answer of a platform service is bounded at 16 MB

Found on the way: the bound was 64 MB, a third of a small instance's memory for one call to a service that sends bytes without end. The largest regular answers are pages of 1 MB and the changes of 20 s. TestAnswerWithoutEnd failed before (67 MB taken).

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -16,7 +16,7 @@
 
 const (
 	maxConns         = 1024
-	maxResponseBytes = 64 << 20
+	maxResponseBytes = 16 << 20
 	// maxIdleConnTime is below the idle timeout of common servers, so that a call is
 	// seldom sent on a connection that the server is closing.
 	maxIdleConnTime = 10 * time.Second
