serve: bodies without end are bounded

What callers would see: an unmarked failure whose body has no end was forwarded to them until they left, and each such event of a stream took a megabyte of a small instance. Fix: an answer without the server's mark is forwarded only if it is whole and a failure; an event has 64 KB; a request for which nobody sets a limit ends after 15 minutes. Before: TestBodyWithoutEnd failed (16 MB forwarded; 1 MB kept).

--- a/internal/frame/events.go
+++ b/internal/frame/events.go
@@ -10,7 +10,7 @@
 const (
 	readChunkBytes = 4 << 10
 	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 64 << 10
 )
 
 var (
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -30,10 +30,11 @@
 	if failed && r.mayRepeatFailure() {
 		return false, contract.Unavailable(contract.Ran, "the server failed the request", nil)
 	}
-	if !a.Authentic && a.Status < http.StatusMultipleChoices {
+	isWhole := len(head) < bufferedBytes
+	if !a.Authentic && (a.Status < http.StatusMultipleChoices || !isWhole) {
 		return false, r.recordUnauthenticated()
 	}
-	if len(head) < bufferedBytes && a.Framing != frame.Close {
+	if isWhole && a.Framing != frame.Close {
 		a.Framing, a.Length = frame.Length, int64(len(head))
 	}
 	if err := r.begin(a); err != nil {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -84,17 +84,22 @@
 // caller must be able to tell that it is incomplete.
 var ErrTruncated = errors.New("the answer broke off")
 
+// maxRequestTime bounds a request for which neither the caller nor the route sets a limit,
+// since a server may send bytes without end.
+const maxRequestTime = 15 * time.Minute
+
 // Serve answers a request. ctx ends when the caller disconnects. The error is nil
 // after a complete answer, ErrTruncated after a part of one, and a *contract.Error
 // when nothing was sent to the caller.
 func (s *Server) Serve(ctx context.Context, req *Request, caller Caller) error {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if end := req.EffectiveDeadline(); !end.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, end)
-		defer cancel()
+	end := req.EffectiveDeadline()
+	if end.IsZero() {
+		end = req.Arrived.Add(maxRequestTime)
 	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
 	charge := quotaCost(req)
 	if wait, ok := s.Quotas.Take(req.Workspace, charge, rand.Float64(), req.Arrived); !ok {
 		err := contract.Refusal(contract.KindOverloaded, wait, "the workspace's quota is used up")
