gateway: a plain answer or a KV cache that broke off is not taken as whole, and has a bound

A body without end was read until the deadline (500 MB in the test). Cause: with a streamed body, fasthttp's Response.Body returns the text of a read error as the body. Fix: bodies are read by frame.ReadAll, which fails when a body breaks off or is longer than its bound.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -53,6 +53,9 @@
 	return nil
 }
 
+// maxStateBytes bounds a server's report on its own state.
+const maxStateBytes = 1 << 20
+
 // probe reads the server's own state from /v1/state.
 func (g *Gateway) probe(ctx context.Context, s *route.Server) (serverState, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -66,7 +69,11 @@
 		return state, err
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
-	return state, json.Unmarshal(resp.Body(), &state)
+	body, err := readBody(resp, maxStateBytes)
+	if err != nil {
+		return state, err
+	}
+	return state, json.Unmarshal(body, &state)
 }
 
 // probeAfterRefusal probes a server that refused work and, if it is leaving,
--- a/internal/gateway/relocate.go
+++ b/internal/gateway/relocate.go
@@ -111,6 +111,9 @@
 	}).Info("the run could not be moved off the leaving server in this way")
 }
 
+// maxCacheBytes bounds the KV cache of one stream.
+const maxCacheBytes = 1 << 30
+
 // post sends one POST request and returns the body of a successful answer.
 func (g *Gateway) post(ctx context.Context, url string, body []byte) ([]byte, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -126,5 +129,5 @@
 	if status := resp.StatusCode(); status >= 300 {
 		return nil, fmt.Errorf("the engine answered with status %d, want below 300", status)
 	}
-	return append([]byte(nil), resp.Body()...), nil
+	return readBody(resp, maxCacheBytes)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -29,6 +29,9 @@
 	body   []byte
 }
 
+// maxPlainAnswerBytes bounds a plain server's answer, which is kept until it is whole.
+const maxPlainAnswerBytes = 32 << 20
+
 // plainAnswer is a server's answer to a plainRequest.
 type plainAnswer struct {
 	status      int
@@ -199,14 +202,14 @@
 	if err := refusedByServer(resp); err != nil {
 		return plainAnswer{}, err
 	}
-	body, err := resp.BodyUncompressed()
+	body, err := readBody(resp, maxPlainAnswerBytes)
 	if err != nil {
-		return plainAnswer{}, mayHaveRun("the server's answer broke off", err)
+		return plainAnswer{}, mayHaveRun("the server's answer broke off or is too long", err)
 	}
 	return plainAnswer{
 		status:      resp.StatusCode(),
 		contentType: string(resp.Header.ContentType()),
-		body:        append([]byte(nil), body...),
+		body:        body,
 	}, nil
 }
 
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/frame"
 	"kumquatyard/internal/machine"
 )
 
@@ -103,6 +105,16 @@
 	return e
 }
 
+// readBody reads the whole body of an answer, of at most limit bytes. resp.Body would take
+// the text of an error for the body.
+func readBody(resp *fasthttp.Response, limit int64) ([]byte, error) {
+	stream := resp.BodyStream()
+	if stream == nil {
+		return bytes.Clone(resp.Body()), nil
+	}
+	return frame.ReadAll(stream, limit)
+}
+
 // refusedByServer returns an error with the verdict NotRun if the answer says
 // that the server did not start the work, and nil otherwise.
 func refusedByServer(resp *fasthttp.Response) *contract.Error {
