platform: an answer without a frame gets one again; the soak has servers without frames and without ends

So frames are given again; the reset of a broken answer to HTTP/1.0 stays. The soak: every second server gives no frame; its truncated answers end inside an event, are reset, or are bytes without end.

--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -9,7 +9,6 @@
 
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
-	"kumquatyard/internal/frame"
 )
 
 // bufferedBytes is the size up to which a plain answer is buffered completely before
@@ -34,8 +33,8 @@
 	if !a.Authentic && (a.Status < http.StatusMultipleChoices || !isWhole) {
 		return false, r.recordUnauthenticated()
 	}
-	if isWhole && a.Framing != frame.Close {
-		a.Framing, a.Length = frame.Length, int64(len(head))
+	if isWhole {
+		a.Length = int64(len(head))
 	}
 	if err := r.begin(a); err != nil {
 		return true, err
@@ -98,7 +97,7 @@
 	r.headSent = true
 	r.firstByte = time.Since(r.req.Arrived)
 	firstByteSeconds.Update(r.firstByte.Seconds())
-	if err := r.caller.Begin(a.Status, a.Header, a.Framing, a.Length); err != nil {
+	if err := r.caller.Begin(a.Status, a.Header, a.Length); err != nil {
 		return ErrTruncated
 	}
 	return nil
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -31,9 +31,7 @@
 		return false, r.recordUnauthenticated()
 	}
 	events := frame.NewEvents(a.Body, a.Framing)
-	if a.Framing == frame.Length {
-		a.Framing = frame.Chunks // another server may send the rest
-	}
+	a.Length = -1
 	registered := false
 	for {
 		part, err := events.Next()
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -95,8 +95,7 @@
 	Header http.Header
 	// Length is the length of the body, -1 when it is unknown.
 	Length int64
-	// Framing is how the server marks the end of the body. The caller gets no frame that
-	// says more.
+	// Framing is how the server marks the end of the body.
 	Framing frame.Framing
 	Body    io.ReadCloser
 	// Refused is set when the server states that it did not run the request.
@@ -132,9 +131,9 @@
 
 // Caller receives the answer to a request.
 type Caller interface {
-	// Begin sends the status and headers. framing is how the end of the body is marked,
-	// and length its number of bytes with frame.Length.
-	Begin(status int, header http.Header, framing frame.Framing, length int64) error
+	// Begin sends the status and headers. A length of -1 means that the length is
+	// not known yet.
+	Begin(status int, header http.Header, length int64) error
 	// Write sends a part of the body without buffering it.
 	Write(p []byte) error
 }
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -116,6 +116,7 @@
 		f.t.Fatal(err)
 	}
 	s.Address = p.address()
+	s.Unframed = f.serversStarted%2 == 0
 	s.Register()
 	f.servers = append(f.servers, &server{Server: s, proxy: p})
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -49,6 +49,7 @@
 // TestFailedSeeds runs the seeds that failed in earlier soaks.
 func TestFailedSeeds(t *testing.T) {
 	for seed, cause := range map[uint64]string{
+		9203: "instances were killed while they passed on streams that end with their connection, without a frame of their own (a trial): streams ended without an error after 1 to 18 of 20 events",
 		8011: "a stream through an instance that was suspended (from 0.73 s after the start) ended 3.03 s after its request: the check counted the instance's suspension as answer time",
 	} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
