--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -34,6 +34,16 @@
 	return tokens
 }
 
+// SharedParts returns the ids of the parts that the prompt may share with other requests:
+// all but the last one.
+func (p *Prompt) SharedParts() []uint64 {
+	ids := make([]uint64, 0, len(p.Parts))
+	for i := 0; i < len(p.Parts)-1; i++ {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // Part is one part of a prompt.
 type Part struct {
 	ID     uint64
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -24,7 +24,7 @@
 func (r *run) attempt(c candidate) (done bool, err error) {
 	s := r.server
 	r.tries++
-	r.currentServer = c.server.ID
+	r.currentServer, r.answerBegun = c.server.ID, false
 	ctx, stopTimer, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
@@ -39,7 +39,7 @@
 	r.attempts++
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
-	r.framing, r.incompleteBytes = answer.Framing, 0
+	r.answerBegun, r.framing, r.incompleteBytes = true, answer.Framing, 0
 	s.heed(answer, c.server, r.req.ID)
 	if answer.Load != nil {
 		s.Predictor.RecordServerReport(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,12 +83,25 @@
 	entry.Info("answered")
 }
 
+// formatParts returns the ids of parts of a prompt as text.
+func formatParts(ids []uint64) string {
+	list := make([]string, len(ids))
+	for i, id := range ids {
+		list[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(list, ",")
+}
+
 // logFailed logs and counts a failed attempt.
 func (r *run) logFailed(c candidate, err error) {
 	countAttempt(contract.VerdictOf(err))
 	fields := r.fields(c)
 	fields["event"] = "attempt_failed"
 	fields["verdict"] = contract.VerdictOf(err)
+	if r.req.Prompt != nil && contract.VerdictOf(err) != contract.NotRun {
+		fields["parts"] = formatParts(r.req.Prompt.SharedParts())
+		fields["answer_begun"] = r.answerBegun
+	}
 	if errors.Is(err, errUnreachable) {
 		fields["sent"] = false
 	}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -52,6 +52,8 @@
 	firstByte time.Duration
 	// lastEvent is the id of the last event that was forwarded to the caller.
 	lastEvent string
+	// answerBegun is set once the head of the current attempt's answer has arrived.
+	answerBegun bool
 	// framing is how the server of the last answer marks its end, and incompleteBytes the
 	// number of bytes that it sent after the last complete event.
 	framing         frame.Framing
