quarantine: parts of prompts under which servers end are not sent on

Cause: nothing related the end of a server to the requests that it had. Each was repeated at another server, and new ones were sent as if nothing was known. Class: work that ends whoever does it (a poison message) is redelivered without bound. Fix: internal/quarantine, a package without I/O. When an attempt breaks off and nothing listens at its server any more (one question for all requests there), the end is evidence against the shared parts of the prompt, unless the server leaves. An answer on a part clears it; ends at one moment count once; what a quarantined part explains does not count against others. After three ends under requests whose answers had begun (five where none had) requests with the part are refused at once, as not run, until ten minutes after the last end; after two they are not repeated. The evidence, not the judgment, is sent to all instances with the state messages, so that they judge alike and new ones learn it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/peers"
+	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/quota"
 	"kumquatyard/internal/retry"
 	"kumquatyard/internal/serve"
@@ -128,10 +129,12 @@
 	budget    *retry.PoolBudget
 	demand    *demand.Meter
 	leaving   leavingNotices
-	core      *serve.Server
-	frontend  Frontend
-	exchange  *peers.Exchange
-	follower  *follow.Follower
+	// quarantine judges the parts of prompts by the servers that ended under them.
+	quarantine *quarantine.Tracker
+	core       *serve.Server
+	frontend   Frontend
+	exchange   *peers.Exchange
+	follower   *follow.Follower
 	// feed queues the store changes relayed by other instances.
 	feed chan follow.Batch
 	// relayedBytes is the number of bytes sent for the last relayed batch.
@@ -166,6 +169,7 @@
 		counter: usage.New(o.Settings.UsageWindow), clock: clock.New(now),
 		budget:      retry.NewPoolBudget(0, 0, retryWindow(o.Settings)),
 		demand:      demand.New(),
+		quarantine:  quarantine.New(o.Log),
 		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
 	}
@@ -174,12 +178,13 @@
 	i.snapshots.onConfig = func(c *fleet.Config) { i.levels.SetQuotas(c.Workspaces) }
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
 		Self: i.self(), Quotas: i.levels, Collect: i.state, CollectUsage: i.usageCounts,
-		Apply: i.apply, ApplyUsage: i.applyUsage, ApplyChanges: i.receiveChanges, Log: o.Log,
+		Apply: i.apply, ApplyUsage: i.applyUsage, ApplyChanges: i.receiveChanges,
+		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge, Log: o.Log,
 	})
 	i.follower = i.newFollower()
 	return i
@@ -364,6 +369,7 @@
 	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": before, "now": n}).Info("number of instances changed; dividing the quotas and the retry budget among them again")
 	i.ledger.SetInstances(n, i.exchange.MaxAge())
 	i.levels.SetInstances(n)
+	i.quarantine.SetSettleTime(i.exchange.MaxAge() * 3 / 2)
 	i.updateRetryBudget()
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,7 +49,11 @@
 	ApplyUsage func(counts *pb.UsageCounts)
 	// ApplyChanges is called with the store changes that the zone's relay sent.
 	ApplyChanges func(changes *pb.StoreChanges, now time.Time)
-	Log          *logrus.Entry
+	// Evidence returns what this instance knows of parts of prompts under which servers
+	// ended, and ApplyEvidence adds what another one knows.
+	Evidence      func(now time.Time) []*pb.PartEvidence
+	ApplyEvidence func(parts []*pb.PartEvidence, now time.Time)
+	Log           *logrus.Entry
 }
 
 // Exchange sends and receives messages. It is safe for concurrent use.
@@ -194,6 +198,7 @@
 		return
 	}
 	receivedTotal.Inc()
+	e.options.ApplyEvidence(message.GetParts(), now)
 }
 
 // handle passes the content of a message on. It returns false if the message is invalid.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/rollup"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -35,6 +36,7 @@
 	changes map[uint64]int
 	// lastChanges are the changes of the store that arrived last.
 	lastChanges *pb.StoreChanges
+	quarantine  *quarantine.Tracker
 	// change changes the states that the instance sends; may be nil.
 	change func(*pb.MemberState)
 }
@@ -53,7 +55,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	i := &instance{address: freeAddress(t), usage: make(map[string]int), changes: make(map[uint64]int)}
+	i := &instance{address: freeAddress(t), usage: make(map[string]int), changes: make(map[uint64]int), quarantine: quarantine.New(logrus.NewEntry(log))}
 	i.Exchange = New(Options{
 		Self:    &pb.Instance{Name: name, Zone: zone, Incarnation: 1, Address: i.address, StatusAddress: "status of " + name},
 		Quotas:  noQuotas{},
@@ -79,6 +81,7 @@
 			i.changes[m.GetRevision()]++
 			i.lastChanges = m
 		},
+		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge,
 	})
 	return i
 }
@@ -320,3 +323,27 @@
 		t.Errorf("%.0f bits a second over a link of 20 Mbit/s, want at most %.0f", perSecond, limit)
 	}
 }
+
+// Evidence against a part of prompts that one instance has reaches all others, in other
+// zones too, and an instance that starts later.
+func TestEvidenceReachesAllInstances(t *testing.T) {
+	c := newCluster(t, map[string]int{"a": 3, "b": 3})
+	c.allKnow()
+	const part = 666
+	first := c.instances["b2"].quarantine
+	for n := range 5 {
+		first.RecordLoss(quarantine.Loss{Server: fmt.Sprint(n), Request: fmt.Sprint(n), Parts: []uint64{part}, Begun: true}, time.Now().Add(time.Duration(n-6)*200*time.Millisecond))
+	}
+	isHeld := func() bool {
+		for _, i := range c.instances {
+			if _, _, held := i.quarantine.Quarantined([]uint64{part}, time.Now()); !held {
+				return false
+			}
+		}
+		return true
+	}
+	await(t, "all instances to hold the part back", isHeld)
+	c.instances["a9"] = newInstance(t, "a9", "a")
+	c.start("a9")
+	await(t, "the new instance to hold the part back", isHeld)
+}
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -87,7 +87,9 @@
 	if own != nil {
 		e.applyFleet(own, now)
 	}
+	evidence := e.options.Evidence(now)
 	for _, d := range due {
+		d.message.Parts = evidence
 		e.send(d)
 	}
 	if len(usage) > 0 {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -31,7 +31,7 @@
 	defer func() { job.Done(time.Now()) }()
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
-		MaxConnections: r.maxConnections(), Wanted: func() bool { return s.backoffs.wanted(c.server, time.Now()) },
+		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
 	})
 	if err != nil {
 		return false, r.recordUnanswered(c.server, err)
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -99,7 +99,7 @@
 	fields["event"] = "attempt_failed"
 	fields["verdict"] = contract.VerdictOf(err)
 	if r.req.Prompt != nil && contract.VerdictOf(err) != contract.NotRun {
-		fields["parts"] = formatParts(r.req.Prompt.SharedParts())
+		fields["parts"] = formatParts(r.parts)
 		fields["answer_begun"] = r.answerBegun
 	}
 	if errors.Is(err, errUnreachable) {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -54,6 +54,10 @@
 	lastEvent string
 	// answerBegun is set once the head of the current attempt's answer has arrived.
 	answerBegun bool
+	// answered is set once an attempt's answer was written at length.
+	answered bool
+	// parts are the shared parts of the prompt.
+	parts []uint64
 	// framing is how the server of the last answer marks its end, and incompleteBytes the
 	// number of bytes that it sent after the last complete event.
 	framing         frame.Framing
@@ -65,6 +69,9 @@
 // serve makes attempts until the request is answered, refused or truncated.
 func (r *run) serve() error {
 	r.lastEvent = r.req.LastEventID
+	if r.req.Prompt != nil {
+		r.parts = r.req.Prompt.SharedParts()
+	}
 	r.pool = r.req.Route.PickPool(seed())
 	r.server.Budget.Request(r.pool, time.Now())
 	for {
@@ -82,6 +89,7 @@
 			return err
 		}
 		r.logFailed(choice, err)
+		r.recordLoss(choice.server, err)
 		if !r.mayRetry(err) {
 			return r.fail(err)
 		}
@@ -104,6 +112,9 @@
 func (r *run) choose() (candidate, error) {
 	s := r.server
 	now := time.Now()
+	if err := r.refuseQuarantined(now); err != nil {
+		return candidate{}, err
+	}
 	p := r.placement(r.exclude, now)
 	p.prompt, p.target = r.req.Prompt, r.req.Route.LatencyTarget
 	p.predict = func(id machine.ID, assumed int) forecast.Estimate {
@@ -176,6 +187,9 @@
 	if r.headSent && !r.req.Route.Resumable {
 		return false
 	}
+	if !r.answered && r.server.Quarantine.Suspected(r.parts) {
+		return false
+	}
 	if r.retryGranted {
 		r.retryGranted = false
 		return true
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -16,6 +16,7 @@
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/outlier"
+	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/retry"
 )
 
@@ -47,6 +48,9 @@
 	Predictor *forecast.Predictor
 	Budget    *retry.PoolBudget
 	Demand    *demand.Meter
+	// Quarantine judges the parts of prompts by the servers that ended under them; New
+	// creates one if it is nil.
+	Quarantine *quarantine.Tracker
 	// MarkLeaving is called with a server whose answer says that it is leaving; may be
 	// nil.
 	MarkLeaving func(*fleet.Server)
@@ -64,6 +68,7 @@
 	ejected  atomic.Pointer[map[machine.ID]bool]
 	suspects sync.Map // machine.ID → suspicion
 	backoffs backoffs
+	ends     endChecks
 }
 
 // ejectionSettings eject a failing server for seconds only, since servers are
@@ -74,6 +79,9 @@
 
 // New returns a Server.
 func New(o Options) *Server {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(o.Log)
+	}
 	return &Server{Options: o, streams: newStreams(), outliers: outlier.New(ejectionSettings)}
 }
 
@@ -185,6 +193,8 @@
 		}
 	}
 	s.evacuate(known)
+	s.Quarantine.Expire(now)
+	s.ends.expire(now)
 	s.mu.Lock()
 	ejected := s.outliers.Update(now, members)
 	s.mu.Unlock()
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -33,6 +33,7 @@
 	events := frame.NewEvents(a.Body, a.Framing)
 	a.Length = -1
 	registered := false
+	var begunAt time.Time
 	for {
 		part, err := events.Next()
 		if len(part) > 0 {
@@ -41,6 +42,7 @@
 			if err := r.forward(a, part); err != nil {
 				return true, err
 			}
+			r.noteProgress(&begunAt)
 		}
 		if err == nil && !registered {
 			registered = true
@@ -54,6 +56,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			r.server.observe(server.ID, false)
+			r.recordAnswered()
 			return true, r.begin(a)
 		}
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -136,6 +136,24 @@
 	return newConn(raw), nil
 }
 
+// Listens reports whether connections to an address are accepted. A new one is kept for the
+// next call. An error means that this is not known: the server is silent, or limit
+// connections to it are open.
+func (p *Pool) Listens(ctx context.Context, address string, limit int) (bool, error) {
+	if !p.reserve(address, limit) {
+		return false, ErrConnectionLimit
+	}
+	c, err := p.dial(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	p.putUnused(address, c)
+	return true, nil
+}
+
 func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
