serve: silent servers are not asked whether they have ended; tests of what counts against parts of prompts

An attempt without a first byte in time would have waited up to 100 ms more before its repeat. Tests: only ends without notice count, all requests at a server ask once, the refusal is true and says for how long, a long answer clears its parts; upstream tells an ended server from a running one.

--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"strconv"
@@ -124,6 +125,9 @@
 	if len(r.parts) == 0 || r.answered || r.ctx.Err() != nil || contract.VerdictOf(err) == contract.NotRun {
 		return
 	}
+	if errors.Is(err, errFirstByteTimeout) {
+		return // silent servers may not have ended, and asking them takes time
+	}
 	if !r.server.isServing(server) || !r.server.hasEnded(server) {
 		return
 	}
--- /dev/null
+++ b/internal/serve/loss_test.go
@@ -0,0 +1,149 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/machine"
+)
+
+// endingBackend breaks off each attempt and says whether its server has ended.
+type endingBackend struct {
+	fakeBackend
+	ended bool
+	err   error
+	asked atomic.Int64
+}
+
+func (b *endingBackend) HasEnded(context.Context, *fleet.Server) (bool, error) {
+	b.asked.Add(1)
+	time.Sleep(5 * time.Millisecond)
+	return b.ended, b.err
+}
+
+func newEndingFixture(b *endingBackend) *fixture {
+	f := newFixture(20, nil)
+	b.script = func(int, context.Context, *Attempt) (*Answer, error) { return truncatedAfter(""), nil }
+	f.backend, f.Backend = &b.fakeBackend, b
+	return f
+}
+
+// loseServers sends requests with a part that break off at several moments.
+func loseServers(t *testing.T, f *fixture, part uint64) {
+	t.Helper()
+	for n := range 6 {
+		req := request(stream)
+		req.ID, req.Prompt = fmt.Sprint(n), promptOf(1, part, 100+uint64(n))
+		_ = f.Serve(t.Context(), req, &fakeCaller{})
+		for _, s := range f.Snapshot().Servers["p"] {
+			s.StartedAtMs++ // the servers are back
+		}
+		time.Sleep(110 * time.Millisecond)
+	}
+}
+
+func (f *fixture) holds(part uint64) bool {
+	_, _, ok := f.Quarantine.Quarantined([]uint64{part}, time.Now())
+	return ok
+}
+
+// Only servers that ended without notice speak against the parts of prompts: not those that
+// accept connections, are silent, or leave.
+func TestWhichEndsCountAgainstParts(t *testing.T) {
+	tests := map[string]struct {
+		backend *endingBackend
+		leaving bool
+		want    bool
+	}{
+		"ended":   {&endingBackend{ended: true}, false, true},
+		"running": {&endingBackend{}, false, false},
+		"silent":  {&endingBackend{ended: true, err: errors.New("timeout")}, false, false},
+		"leaving": {&endingBackend{ended: true}, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newEndingFixture(tt.backend)
+			servers := f.Snapshot().Servers["p"]
+			tt.backend.script = func(int, context.Context, *Attempt) (*Answer, error) {
+				if tt.leaving {
+					for _, s := range servers {
+						s.Lifecycle = machine.Leaving
+					}
+				}
+				return truncatedAfter(""), nil
+			}
+			loseServers(t, f, 7)
+			if got := f.holds(7); got != tt.want {
+				t.Errorf("the part is held back: %v, want %v", got, tt.want)
+			}
+			if f.holds(100) {
+				t.Error("the last part of a prompt is held back")
+			}
+		})
+	}
+}
+
+// A request with a quarantined part is refused at once, as not run, with the time until the
+// quarantine ends; it is not sent.
+func TestRefusalOfAQuarantinedPart(t *testing.T) {
+	b := &endingBackend{ended: true}
+	f := newEndingFixture(b)
+	loseServers(t, f, 7)
+	sent := len(b.attempts)
+	req := request(resumable)
+	req.Prompt = promptOf(1, 7, 200)
+	err := f.Serve(t.Context(), req, &fakeCaller{})
+	var refused *contract.Error
+	if !errors.As(err, &refused) || refused.Verdict != contract.NotRun || refused.RetryAfter < 9*time.Minute {
+		t.Errorf("error %v, want a refusal as not run for ten minutes", err)
+	}
+	if len(b.attempts) != sent || f.quotas.refunded == 0 {
+		t.Errorf("%d attempts of the refused request, %v refunded", len(b.attempts)-sent, f.quotas.refunded)
+	}
+}
+
+// All requests that break off at a server ask once whether it has ended.
+func TestServerIsAskedOnce(t *testing.T) {
+	b := &endingBackend{ended: true}
+	f := newEndingFixture(b)
+	server := f.Snapshot().Servers["p"][0]
+	results := make(chan bool)
+	const requests = 30
+	for range requests {
+		go func() { results <- f.hasEnded(server) }()
+	}
+	for range requests {
+		if !<-results {
+			t.Error("the server is said to run")
+		}
+	}
+	if got := b.asked.Load(); got != 1 {
+		t.Errorf("the server was asked %d times, want once", got)
+	}
+}
+
+// An answer that was written at length does not count against its parts when its server
+// ends.
+func TestLongAnswerIsNotHeldAgainstItsParts(t *testing.T) {
+	b := &endingBackend{ended: true}
+	f := newEndingFixture(b)
+	r := &run{server: f.Server, ctx: t.Context(), req: request(resumable), parts: []uint64{7}, answerBegun: true}
+	var begunAt time.Time
+	r.noteProgress(&begunAt)
+	if r.answered {
+		t.Error("answered at length with the first event")
+	}
+	begunAt = begunAt.Add(-answeredTime)
+	r.noteProgress(&begunAt)
+	r.recordLoss(f.Snapshot().Servers["p"][0], verdictError(contract.MayHaveRun))
+	if !r.answered || b.asked.Load() != 0 || len(f.Quarantine.Evidence(time.Now())) != 0 {
+		t.Error("the end is held against a part on which an answer was written at length")
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -386,3 +386,32 @@
 		t.Errorf("%d connections were opened, want 1", got)
 	}
 }
+
+// Listens tells a server that accepts connections, of which it keeps the new one, from one
+// that has ended.
+func TestListens(t *testing.T) {
+	s := serve(t, echo)
+	p := NewPool(DefaultSettings)
+	if listens, err := p.Listens(t.Context(), s.address, 0); !listens || err != nil {
+		t.Errorf("a running server listens: %v, %v", listens, err)
+	}
+	mustGet(t, p, call(s.address, "a", nil), "of a")
+	if got := s.conns.Load(); got != 1 {
+		t.Errorf("%d connections were opened, want 1", got)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	if listens, err := p.Listens(t.Context(), address, 0); listens || err != nil {
+		t.Errorf("a server that has ended listens: %v, %v", listens, err)
+	}
+	if _, err := p.Listens(t.Context(), s.address, 1); !errors.Is(err, ErrConnectionLimit) {
+		t.Errorf("error %v at the limit of connections, want ErrConnectionLimit", err)
+	}
+	if n := p.ConnectionCount(address); n != 0 {
+		t.Errorf("%d connections to the ended server are counted", n)
+	}
+}
