quarantine: parts that servers have answered on are judged after unknown ones

The last answers on about 8,000 parts are remembered; a known part is judged after unknown ones and needs five ends.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -10,7 +10,9 @@
 	// lost, for example.
 	momentTime = 100 * time.Millisecond
 	// A part is quarantined after minBegunMoments ends under minBegunRequests requests whose
-	// answers had begun, or after minMoments ends under minRequests others.
+	// answers had begun, or after minMoments ends under minRequests others; one on which
+	// servers have answered before, after minMoments ends under minRequests requests whose
+	// answers had begun.
 	minBegunMoments  = 3
 	minBegunRequests = 2
 	minMoments       = 5
@@ -85,6 +87,9 @@
 
 // isConclusive reports whether requests with the part must not be sent any more.
 func (t tally) isConclusive() bool {
+	if t.answered {
+		return t.begunMoments >= minMoments && t.begunRequests >= minRequests
+	}
 	return t.begunMoments >= minBegunMoments && t.begunRequests >= minBegunRequests ||
 		t.moments >= minMoments && t.requests >= minRequests
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -48,8 +48,9 @@
 type Tracker struct {
 	log *logrus.Entry
 
-	mu    sync.Mutex
-	parts map[uint64]*evidence
+	mu      sync.Mutex
+	parts   map[uint64]*evidence
+	answers answers
 	// changed is set while the judgment does not cover the latest evidence, and dueAt is
 	// when it has to be renewed in any case.
 	changed    bool
@@ -69,7 +70,7 @@
 
 // New returns a Tracker that logs changes of its judgment.
 func New(log *logrus.Entry) *Tracker {
-	t := &Tracker{log: log, parts: make(map[uint64]*evidence)}
+	t := &Tracker{log: log, parts: make(map[uint64]*evidence), answers: newAnswers()}
 	t.view.Store(&view{})
 	return t
 }
@@ -151,7 +152,7 @@
 	if len(t.parts) >= maxParts {
 		t.dropOldestPart()
 	}
-	e := &evidence{losses: make(map[lossKey]loss)}
+	e := &evidence{losses: make(map[lossKey]loss), answeredAt: t.answers.last(id)}
 	t.parts[id] = e
 	return e
 }
@@ -174,16 +175,11 @@
 
 // RecordAnswer records that a server answered a request with the parts.
 func (t *Tracker) RecordAnswer(parts []uint64, now time.Time) {
-	tracked := t.view.Load().tracked
-	if len(tracked) == 0 {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range parts {
-		if tracked[id] {
-			t.addAnswer(id, now, now)
-		}
+		t.answers.add(id, now)
+		t.addAnswer(id, now, now)
 	}
 	t.update(now)
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// While nothing is answered any more, the part that sound requests share with the deadly
+// ones has as much against it; it was answered before, and is not held back.
+func TestKnownPartIsNotHeldBackForANewOne(t *testing.T) {
+	tr := newTracker()
+	tr.RecordAnswer([]uint64{1}, at(-5000))
+	for n := range 20 {
+		tr.lose(n, 150*n, 1, 666)
+		tr.lose(n, 150*n+1, 1)
+	}
+	if !tr.holds(666, at(4000)) || tr.holds(1, at(4000)) {
+		t.Errorf("the deadly part is held back: %v, the known one: %v, want only the first", tr.holds(666, at(4000)), tr.holds(1, at(4000)))
+	}
+}
+
+// A part that servers have answered on may turn deadly.
+func TestKnownPartThatTurnsDeadlyIsQuarantined(t *testing.T) {
+	tr := newTracker()
+	tr.RecordAnswer([]uint64{7}, at(-100))
+	for n := range minMoments {
+		tr.lose(n, 150*n, 7)
+	}
+	if !tr.holds(7, at(4000)) {
+		t.Error("not quarantined")
+	}
+}
+
 // Memory and messages are bounded with many parts seen.
 func TestManyPartsAreBounded(t *testing.T) {
 	tr := newTracker()
--- a/internal/serve/loss_test.go
+++ b/internal/serve/loss_test.go
@@ -37,6 +37,7 @@
 // loseServers sends requests with a part that break off at several moments.
 func loseServers(t *testing.T, f *fixture, part uint64) {
 	t.Helper()
+	f.Quarantine.RecordAnswer([]uint64{1}, time.Now())
 	for n := range 6 {
 		req := request(stream)
 		req.ID, req.Prompt = fmt.Sprint(n), promptOf(1, part, 100+uint64(n))
