--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -473,3 +473,25 @@
 		})
 	}
 }
+
+// A lease of the time before a restore may still be in force at its holder: a process counts
+// the era's time from when it first saw it, not from its own start.
+func TestTimeOfAnEraBeginsWhenItIsSeen(t *testing.T) {
+	kv := newFakeKV()
+	d := newDuty(kv, "a", nil)
+	now := time.Unix(1000, 0)
+	d.Now = func() time.Time { return now }
+	d.observeEra()
+	kv.era = 2
+	now = now.Add(time.Hour)
+	d.observeEra()
+	if d.era != 2 || !d.eraSince.Equal(now) {
+		t.Errorf("era %d since %v, want 2 since %v", d.era, d.eraSince, now)
+	}
+	seen := now
+	now = now.Add(time.Minute)
+	d.observeEra()
+	if !d.eraSince.Equal(seen) {
+		t.Errorf("the era's time begins anew at %v", d.eraSince)
+	}
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -192,3 +192,17 @@
 		}
 	}
 }
+
+// The levels of a process that has just started are not known until it has had the time to
+// hear of those of another aggregator.
+func TestLevelsOfANewProcessAreNotKnownAtOnce(t *testing.T) {
+	start := time.Unix(1000, 0)
+	levels := NewLevels(Tolerance{}, start)
+	if levels.Known(start.Add(adoptionTime/2)) || !levels.Known(start.Add(adoptionTime)) || adoptionTime < 500*time.Millisecond {
+		t.Error("the levels are known before an interval in which each aggregator sends several sums, or not after it")
+	}
+	levels.Follow(nil, start)
+	if !levels.Known(start.Add(time.Millisecond)) {
+		t.Error("the levels are not known although those of another aggregator arrived")
+	}
+}
--- a/internal/rollup/rollup_test.go
+++ b/internal/rollup/rollup_test.go
@@ -200,3 +200,22 @@
 		t.Errorf("%d aggregators without a usable instance, want %d", len(got), AggregatorsPerZone)
 	}
 }
+
+// Datagrams may arrive out of order: an older sum of an aggregator must not replace a newer
+// one.
+func TestOlderSumOfAnAggregatorIsIgnored(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := NewMember(&pb.Instance{Name: "a", Zone: "z", Incarnation: 1})
+	sum := func(incarnation, sequence uint64) *pb.FleetSum {
+		return &pb.FleetSum{From: &pb.Instance{Name: "b", Zone: "z", Incarnation: incarnation}, Sequence: sequence, Instances: 3}
+	}
+	steps := []struct {
+		sum  *pb.FleetSum
+		want bool
+	}{{sum(2, 5), true}, {sum(2, 4), false}, {sum(2, 5), false}, {sum(1, 9), false}, {sum(2, 6), true}, {sum(3, 1), true}}
+	for n, s := range steps {
+		if _, ok := m.Apply(s.sum, now); ok != s.want {
+			t.Errorf("step %d: the sum with sequence %d of incarnation %d is applied: %v", n, s.sum.GetSequence(), s.sum.GetFrom().GetIncarnation(), ok)
+		}
+	}
+}
