gateway, httpcall: the tests of answers without end count the kernel's buffers

Traced: the gateway reads 32 MB and closes (fasthttp drops a connection whose body was not read to its end), and the machine's receive buffer grows up to 33.5 MB (tcp_rmem), the send buffer to 4. What the code itself reads is checked to the byte by TestWholeBodyIsBounded.

--- a/internal/frame/events_test.go
+++ b/internal/frame/events_test.go
@@ -143,3 +143,31 @@
 		})
 	}
 }
+
+// countingReader yields bytes without end and counts them.
+type countingReader struct{ read int }
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	r.read += len(p)
+	return len(p), nil
+}
+
+// A body without end is read to its bound and not further.
+func TestWholeBodyIsBounded(t *testing.T) {
+	const limit = 100_000
+	for name, read := range map[string]func(io.Reader) error{
+		"ReadAll": func(r io.Reader) error { _, err := ReadAll(r, limit); return err },
+		"Discard": func(r io.Reader) error { return Discard(r, limit) },
+	} {
+		r := &countingReader{}
+		if err := read(r); !errors.Is(err, ErrTooLong) || r.read > limit+1 {
+			t.Errorf("%s: error %v after %d bytes, want ErrTooLong after %d", name, err, r.read, limit+1)
+		}
+	}
+	if body, err := ReadAll(strings.NewReader("whole"), 5); err != nil || string(body) != "whole" {
+		t.Errorf("a body of just the bound: %q, %v", body, err)
+	}
+	if _, err := ReadAll(&pieces{list: []string{"part"}, err: io.ErrUnexpectedEOF}, 5); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a body that breaks off: %v, want its error", err)
+	}
+}
--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -23,7 +23,11 @@
 	tests := map[string]string{
 		"no answer": "", "header line": "HTTP/1.1 200 OK\r\nX: ", "body": "HTTP/1.1 200 OK\r\n\r\n",
 	}
-	const most = 48 << 20
+	const (
+		// kernelBytes is what the buffers of both ends of a connection hold at most.
+		kernelBytes = 38 << 20
+		most        = maxPlainAnswerBytes + kernelBytes
+	)
 	for name, start := range tests {
 		t.Run(name, func(t *testing.T) {
 			var written atomic.Int64
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -13,9 +13,9 @@
 	"kumquatyard/internal/contract"
 )
 
-// maxEndlessBytes is what a service may send, into the buffers of both ends too, before
-// the client closes the connection.
-const maxEndlessBytes = 32 << 20
+// maxEndlessBytes is what a service may send before the client closes the connection: what
+// the client takes, and what the kernel's buffers of both ends hold at most.
+const maxEndlessBytes = maxResponseBytes + 38<<20
 
 // Guards against a service that sends bytes without end: the client holds few of them, and
 // closes the connection within the call's timeout.
