--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -12,6 +12,7 @@
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/frame"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/ratelimit"
 )
 
 const (
@@ -62,6 +63,8 @@
 	// number of bytes that it sent after the last complete event.
 	framing         frame.Framing
 	incompleteBytes int
+	// rateLimit is what the last answer said about the rate of requests that its server takes.
+	rateLimit ratelimit.Limit
 	// handle names the KV cache that the next attempt continues with.
 	handle Handle
 }
@@ -252,6 +255,9 @@
 	if r.incompleteBytes > 0 {
 		f["incomplete_event_bytes"] = r.incompleteBytes
 	}
+	if r.rateLimit.Kind == ratelimit.Limited {
+		f["server_limit_per_s"] = r.rateLimit.PerSecond
+	}
 	if r.req.Prompt != nil {
 		f["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
 		f["cached_tokens"] = c.estimate.Cached
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -14,6 +14,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/frame"
+	"kumquatyard/internal/ratelimit"
 )
 
 // Request is one request of a caller.
@@ -111,6 +112,8 @@
 	// RetryAfter is how long the server wants no further requests; 0 when it did not say
 	// so.
 	RetryAfter time.Duration
+	// RateLimit is the rate of requests that the server takes from all instances.
+	RateLimit ratelimit.Limit
 }
 
 // Load is the load that a server reports with an answer.
