limit: the instances share the rate of requests that a server names

What callers and servers saw: a server that names 3.3 requests a second got 33 in 4 s, since nothing read its limit and each instance chose it as before.

Cause: a capacity that belongs to a server was spent by each instance as if it were alone; the answer's Server-Limit was not read. Class: what an answer says about further requests is not heeded, or only by the instance that got it.

Fix: internal/ratelimit holds one belief per incarnation of a server (value, when asked, when answered). The rate is divided among a few holders, chosen by rendezvous hashing over the instances' names, each with a token bucket; the others leave the server alone. A token is taken right before the send and given back only if nothing was sent. Limits and their ends travel with the messages between instances.

Weighed: quota's levels (shares by reports) need the demand within a report's age to be small against the slack, which is 5 requests here; equal shares for all instances need one request saved up at each of 300.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"kumquatyard/internal/peers"
 	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/quota"
+	"kumquatyard/internal/ratelimit"
 	"kumquatyard/internal/retry"
 	"kumquatyard/internal/serve"
 	"kumquatyard/internal/store"
@@ -131,10 +132,12 @@
 	leaving   leavingNotices
 	// quarantine judges the parts of prompts by the servers that ended under them.
 	quarantine *quarantine.Tracker
-	core       *serve.Server
-	frontend   Frontend
-	exchange   *peers.Exchange
-	follower   *follow.Follower
+	// limits holds the limits of request rates that servers name.
+	limits   *ratelimit.Tracker
+	core     *serve.Server
+	frontend Frontend
+	exchange *peers.Exchange
+	follower *follow.Follower
 	// feed queues the store changes relayed by other instances.
 	feed chan follow.Batch
 	// relayedBytes is the number of bytes sent for the last relayed batch.
@@ -170,6 +173,7 @@
 		budget:      retry.NewPoolBudget(0, 0, retryWindow(o.Settings)),
 		demand:      demand.New(),
 		quarantine:  quarantine.New(o.Log),
+		limits:      ratelimit.New(o.Settings.Name, o.Log),
 		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
 	}
@@ -178,13 +182,14 @@
 	i.snapshots.onConfig = func(c *fleet.Config) { i.levels.SetQuotas(c.Workspaces) }
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
 		Self: i.self(), Quotas: i.levels, Collect: i.state, CollectUsage: i.usageCounts,
 		Apply: i.apply, ApplyUsage: i.applyUsage, ApplyChanges: i.receiveChanges,
-		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge, Log: o.Log,
+		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge,
+		Limits: i.limits.Messages, ApplyLimits: i.limits.Merge, Log: o.Log,
 	})
 	i.follower = i.newFollower()
 	return i
@@ -357,7 +362,13 @@
 // setMembers applies the store's list of instances.
 func (i *Instance) setMembers(members []*pb.Instance) {
 	i.exchange.SetMembers(members)
-	i.setInstances(i.exchange.InstanceCount(time.Now()))
+	names := make([]string, len(members))
+	for n, m := range members {
+		names[n] = m.GetName()
+	}
+	now := time.Now()
+	i.limits.SetInstances(names, now)
+	i.setInstances(i.exchange.InstanceCount(now))
 }
 
 // setInstances divides the quotas and the retry budget among n instances.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -53,7 +53,11 @@
 	// ended, and ApplyEvidence adds what another one knows.
 	Evidence      func(now time.Time) []*pb.PartEvidence
 	ApplyEvidence func(parts []*pb.PartEvidence, now time.Time)
-	Log           *logrus.Entry
+	// Limits returns what this instance is to tell of limits that servers named, and
+	// ApplyLimits adds what another one knows.
+	Limits      func(now time.Time) []*pb.ServerLimit
+	ApplyLimits func(limits []*pb.ServerLimit, now time.Time)
+	Log         *logrus.Entry
 }
 
 // Exchange sends and receives messages. It is safe for concurrent use.
@@ -199,6 +203,7 @@
 	}
 	receivedTotal.Inc()
 	e.options.ApplyEvidence(message.GetParts(), now)
+	e.options.ApplyLimits(message.GetLimits(), now)
 }
 
 // handle passes the content of a message on. It returns false if the message is invalid.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/quarantine"
+	"kumquatyard/internal/ratelimit"
 	"kumquatyard/internal/rollup"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -37,6 +38,7 @@
 	// lastChanges are the changes of the store that arrived last.
 	lastChanges *pb.StoreChanges
 	quarantine  *quarantine.Tracker
+	limits      *ratelimit.Tracker
 	// change changes the states that the instance sends; may be nil.
 	change func(*pb.MemberState)
 }
@@ -55,7 +57,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	i := &instance{address: freeAddress(t), usage: make(map[string]int), changes: make(map[uint64]int), quarantine: quarantine.New(logrus.NewEntry(log))}
+	i := &instance{address: freeAddress(t), usage: make(map[string]int), changes: make(map[uint64]int), quarantine: quarantine.New(logrus.NewEntry(log)), limits: ratelimit.New(name, logrus.NewEntry(log))}
 	i.Exchange = New(Options{
 		Self:    &pb.Instance{Name: name, Zone: zone, Incarnation: 1, Address: i.address, StatusAddress: "status of " + name},
 		Quotas:  noQuotas{},
@@ -81,7 +83,7 @@
 			i.changes[m.GetRevision()]++
 			i.lastChanges = m
 		},
-		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge,
+		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge, Limits: i.limits.Messages, ApplyLimits: i.limits.Merge,
 	})
 	return i
 }
@@ -347,3 +349,32 @@
 	c.start("a9")
 	await(t, "the new instance to hold the part back", isHeld)
 }
+
+// A limit that a server named to one instance, and its end, reach all others, also one that
+// starts later.
+func TestLimitsReachAllInstances(t *testing.T) {
+	c := newCluster(t, map[string]int{"a": 3, "b": 3})
+	c.allKnow()
+	server := ratelimit.Incarnation{ID: "s", StartedAtMs: 1, Address: "10.0.0.1:80"}
+	observe := func(l ratelimit.Limit) {
+		now := time.Now()
+		c.instances["b2"].limits.Observe(server, ratelimit.Observation{Limit: l, AskedAt: now, AnsweredAt: now})
+	}
+	allKnow := func(limited bool) func() bool {
+		return func() bool {
+			for _, i := range c.instances {
+				if i.limits.IsLimited(server) != limited {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	observe(ratelimit.Limit{Kind: ratelimit.Limited, PerSecond: 2})
+	await(t, "all instances to know of the limit", allKnow(true))
+	c.instances["a9"] = newInstance(t, "a9", "a")
+	c.start("a9")
+	await(t, "the new instance to know of the limit", allKnow(true))
+	observe(ratelimit.Limit{})
+	await(t, "all instances to know of its end", allKnow(false))
+}
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -87,9 +87,9 @@
 	if own != nil {
 		e.applyFleet(own, now)
 	}
-	evidence := e.options.Evidence(now)
+	evidence, limits := e.options.Evidence(now), e.options.Limits(now)
 	for _, d := range due {
-		d.message.Parts = evidence
+		d.message.Parts, d.message.Limits = evidence, limits
 		e.send(d)
 	}
 	if len(usage) > 0 {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -9,6 +9,7 @@
 
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/ratelimit"
 )
 
 // firstByteTimeoutShare is the fraction of the remaining time that a server has for
@@ -24,7 +25,7 @@
 func (r *run) attempt(c candidate) (done bool, err error) {
 	s := r.server
 	r.tries++
-	r.currentServer, r.answerBegun = c.server.ID, false
+	r.currentServer, r.answerBegun, r.sentAt = c.server.ID, false, time.Time{}
 	ctx, stopTimer, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
@@ -41,7 +42,7 @@
 	defer answer.Body.Close()
 	r.answerBegun, r.framing, r.incompleteBytes = true, answer.Framing, 0
 	r.rateLimit = answer.RateLimit
-	s.heed(answer, c.server, r.req.ID)
+	s.heed(answer, c.server, r.req.ID, r.sentAt)
 	if answer.Load != nil {
 		s.Predictor.RecordServerReport(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
 	}
@@ -104,6 +105,9 @@
 		return errors.Join(err, errUnreachable)
 	}
 	if contract.VerdictOf(err) == contract.NotRun {
+		if !r.sentAt.IsZero() {
+			r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
+		}
 		r.server.suspect(server.ID, now)
 		return errors.Join(err, errUnreachable)
 	}
--- a/internal/serve/backoff.go
+++ b/internal/serve/backoff.go
@@ -8,6 +8,7 @@
 
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/ratelimit"
 )
 
 // backoffs holds the servers that asked for no further requests, until a time or, when
@@ -66,8 +67,17 @@
 	})
 }
 
-// heed records what an answer says about further requests to its server.
-func (s *Server) heed(a *Answer, server *fleet.Server, request string) {
+// accepts reports whether a server accepts a request now.
+func (s *Server) accepts(server *fleet.Server, now time.Time) bool {
+	return s.backoffs.wanted(server, now) && s.Limits.Allows(ratelimit.IncarnationOf(server), now)
+}
+
+// heed records what an answer says about further requests to its server. askedAt is when
+// the request was sent.
+func (s *Server) heed(a *Answer, server *fleet.Server, request string, askedAt time.Time) {
+	if isOwn := a.Authentic || a.Refused || a.RateLimit.Kind == ratelimit.Limited; isOwn && !a.Misdirected {
+		s.Limits.Observe(ratelimit.IncarnationOf(server), ratelimit.Observation{Limit: a.RateLimit, AskedAt: askedAt, AnsweredAt: time.Now()})
+	}
 	if a.Leaving && !s.backoffs.get(server).leaving {
 		s.backoffs.set(server, func(b *backoff) { b.leaving = true })
 		s.Log.WithFields(logrus.Fields{"event": "server_leaving", "server": server.ID, "request": request, "born": server.StartedAtMs}).Info("the server's answer says that it is leaving; it gets no more requests")
@@ -105,3 +115,15 @@
 	}
 	return shortest
 }
+
+// limitedServers returns the servers that accept requests but for the limits of their rates.
+func (s *Server) limitedServers(servers []*fleet.Server, now time.Time) []ratelimit.Incarnation {
+	var limited []ratelimit.Incarnation
+	for _, server := range servers {
+		incarnation := ratelimit.IncarnationOf(server)
+		if server.Usable() && s.backoffs.wanted(server, now) && s.Limits.IsLimited(incarnation) {
+			limited = append(limited, incarnation)
+		}
+	}
+	return limited
+}
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -11,6 +11,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/rendezvous"
 )
 
 const (
@@ -49,8 +50,11 @@
 	isSuspected func(machine.ID) bool
 	// isWanted reports whether a server accepts requests; nil means that all do.
 	isWanted func(*fleet.Server) bool
-	predict  func(id machine.ID, assumed int) forecast.Estimate
-	seed     uint64
+	// isLimited reports whether a server has a limit of its request rate; nil means that none
+	// has.
+	isLimited func(*fleet.Server) bool
+	predict   func(id machine.ID, assumed int) forecast.Estimate
+	seed      uint64
 	// target is the latency target; 0 means none.
 	target time.Duration
 	// sample is the number of servers to compare, besides the affinity server.
@@ -97,7 +101,7 @@
 	for _, s := range p.sampleServers(usable, affinity) {
 		c := p.candidate(s, s == affinity)
 		p.price(&c)
-		draw = mix(draw + 1)
+		draw = rendezvous.Mix(draw + 1)
 		c.cost += time.Duration(draw % uint64(tieBreak))
 		if !found || c.cost < best.cost {
 			best, found = c, true
@@ -106,17 +110,23 @@
 	return best, found
 }
 
-// sampleServers returns a random sample of the usable servers, plus the affinity server.
+// sampleServers returns a random sample of the usable servers, plus the affinity server and
+// those with a limit of their rate: few instances may use that.
 func (p *placement) sampleServers(usable []*fleet.Server, affinity *fleet.Server) []*fleet.Server {
 	if len(usable) <= p.sample {
 		return usable
 	}
 	random := rand.New(rand.NewPCG(p.seed, 0))
 	random.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	drawn := usable[:p.sample]
+	drawn := slices.Clip(usable[:p.sample])
 	if affinity != nil && !slices.Contains(drawn, affinity) {
 		drawn = append(drawn, affinity)
 	}
+	for _, s := range usable[p.sample:] {
+		if p.isLimited != nil && p.isLimited(s) && s != affinity {
+			drawn = append(drawn, s)
+		}
+	}
 	return drawn
 }
 
@@ -150,22 +160,13 @@
 		if !p.usable(s, onlySuspected) {
 			continue
 		}
-		if score := mix(xxhash.Sum64String(string(s.ID)) ^ key); best == nil || score > high {
+		if score := rendezvous.Score(xxhash.Sum64String(string(s.ID)), key); best == nil || score > high {
 			best, high = s, score
 		}
 	}
 	return best
 }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // candidate returns the server with its prediction; affinity is true for the affinity
 // server.
 func (p *placement) candidate(s *fleet.Server, affinity bool) candidate {
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -15,6 +15,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/quarantine"
+	"kumquatyard/internal/ratelimit"
 )
 
 // Checker is a Backend that can tell whether a server has ended.
@@ -176,11 +177,16 @@
 }
 
 // isWanted reports, right before the request is sent, whether the server accepts requests
-// and no part of the prompt was quarantined meanwhile.
+// and no part of the prompt was quarantined meanwhile. If so, the request is charged to the
+// server's limit.
 func (r *run) isWanted(server *fleet.Server) bool {
 	now := time.Now()
 	if _, _, quarantined := r.server.Quarantine.Quarantined(r.parts, now); quarantined {
 		return false
 	}
-	return r.server.backoffs.wanted(server, now)
+	if !r.server.backoffs.wanted(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
+		return false
+	}
+	r.sentAt = now
+	return true
 }
--- a/internal/serve/ratelimit_test.go
+++ b/internal/serve/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -68,6 +69,23 @@
 	return answer, nil
 }
 
+// newLimitedFixtures returns the given number of instances that share servers.
+func newLimitedFixtures(servers *limitedServers, instances int) []*fixture {
+	var names []string
+	for n := range instances {
+		names = append(names, fmt.Sprint("instance-", n))
+	}
+	var fixtures []*fixture
+	for n, name := range names {
+		f := newFixture(5, nil)
+		f.Backend = limitedBackend{servers, n}
+		f.Limits = ratelimit.New(name, f.Log)
+		f.Limits.SetInstances(names, time.Now())
+		fixtures = append(fixtures, f)
+	}
+	return fixtures
+}
+
 // sentByTold returns the number of requests that reached a server from the instances that
 // it had told half a second before, by the time since start.
 func (s *limitedServers) sentByTold(server machine.ID, start time.Time) []time.Duration {
@@ -99,12 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const instances, rate, limited = 6, 2.2, machine.ID("s0")
 		servers := &limitedServers{limits: make(map[machine.ID]float64), told: make(map[told]time.Time)}
-		var fixtures []*fixture
-		for n := range instances {
-			f := newFixture(5, nil)
-			f.Backend = limitedBackend{servers, n}
-			fixtures = append(fixtures, f)
-		}
+		fixtures := newLimitedFixtures(servers, instances)
 		start := time.Now()
 		var wg sync.WaitGroup
 		refused := 0
@@ -141,3 +154,88 @@
 		}
 	})
 }
+
+// All servers of a pool are at their limits: callers are refused at once, as not run, and
+// return one after the other.
+func TestPoolAtItsLimitsRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &limitedServers{limits: make(map[machine.ID]float64), told: make(map[told]time.Time)}
+		for n := range 5 {
+			servers.limits[machine.ID(fmt.Sprint("s", n))] = 1
+		}
+		f := newLimitedFixtures(servers, 1)[0]
+		for range 5 {
+			if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		sent, last := len(servers.arrivals), time.Duration(0)
+		for range 4 {
+			began := time.Now()
+			err := f.Serve(t.Context(), request(once), &fakeCaller{})
+			var e *contract.Error
+			if !errors.As(err, &e) || e.Verdict != contract.NotRun || time.Since(began) > 0 {
+				t.Fatalf("refused with %v after %v, want at once as not run", err, time.Since(began))
+			}
+			if e.RetryAfter <= 0 || e.RetryAfter > 4*time.Second {
+				t.Errorf("the caller may return after %v, want within the time that the pool takes another request", e.RetryAfter)
+			}
+			last = max(last, e.RetryAfter)
+		}
+		if len(servers.arrivals) != sent {
+			t.Error("a refused request was sent")
+		}
+		time.Sleep(last)
+		if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+			t.Errorf("the request is refused when the caller returns: %v", err)
+		}
+	})
+}
+
+// A limit ends when an answer names none any more, and is not taken from an answer of another
+// server at the address.
+func TestWhichAnswersNameALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := ratelimit.Limit{Kind: ratelimit.Limited, PerSecond: 0.5}
+		answers := []*Answer{ok(""), ok(""), ok(""), ok("")}
+		answers[0].Misdirected, answers[0].RateLimit = true, limited
+		answers[1].RateLimit = limited
+		answers[2].Authentic = false // perhaps not the server's
+		f := newFixture(1, func(n int, _ context.Context, a *Attempt) (*Answer, error) {
+			if !a.Wanted() {
+				return nil, ErrUnwanted
+			}
+			return answers[n], nil
+		})
+		for n, want := range []bool{false, true, true, false} {
+			_ = f.Serve(t.Context(), request(once), &fakeCaller{})
+			if got := f.Limits.IsLimited(ratelimit.IncarnationOf(f.Snapshot().Servers["p"][0])); got != want {
+				t.Errorf("after answer %d the server has a limit: %v, want %v", n, got, want)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// A request of which nothing was sent is not charged to the server's limit.
+func TestRequestThatWasNotSentIsNotCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(1, func(n int, _ context.Context, a *Attempt) (*Answer, error) {
+			if !a.Wanted() {
+				return nil, ErrUnwanted
+			}
+			if n == 1 {
+				return nil, verdictError(contract.NotRun)
+			}
+			answer := ok("")
+			answer.RateLimit = ratelimit.Limit{Kind: ratelimit.Limited, PerSecond: 1}
+			return answer, nil
+		})
+		serve := func() error { return f.Serve(t.Context(), request(once), &fakeCaller{}) }
+		first := serve()
+		time.Sleep(time.Second)
+		if unsent, again, next := serve(), serve(), serve(); first != nil || unsent == nil || again != nil || next == nil {
+			t.Errorf("outcomes %v, %v, %v, %v; want the third request served after the second was not sent, and the fourth refused", first, unsent, again, next)
+		}
+	})
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -65,6 +65,8 @@
 	incompleteBytes int
 	// rateLimit is what the last answer said about the rate of requests that its server takes.
 	rateLimit ratelimit.Limit
+	// sentAt is when the current attempt was about to be sent; zero before.
+	sentAt time.Time
 	// handle names the KV cache that the next attempt continues with.
 	handle Handle
 }
@@ -144,6 +146,10 @@
 	if wait := r.server.shortestBackoff(servers, now); wait > 0 {
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "all servers of the pool turn requests away")
 	}
+	if limited := r.server.limitedServers(servers, now); len(limited) > 0 {
+		wait := r.server.Limits.ReturnIn(r.pool, limited, now)
+		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "the servers of the pool are at the limits of their request rates")
+	}
 	return contract.Refusal(contract.KindUnavailable, retryAfterNoServer, "no server of the pool takes requests")
 }
 
@@ -154,7 +160,8 @@
 	return &placement{
 		zone: s.Zone, servers: s.Snapshot().Servers[r.pool], exclude: exclude, seed: seed(), sample: sampleSize(s.Instances()),
 		isSuspected: func(id machine.ID) bool { return s.isSuspected(id, now) },
-		isWanted:    func(server *fleet.Server) bool { return s.backoffs.wanted(server, now) },
+		isWanted:    func(server *fleet.Server) bool { return s.accepts(server, now) },
+		isLimited:   func(server *fleet.Server) bool { return s.Limits.IsLimited(ratelimit.IncarnationOf(server)) },
 	}
 }
 
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -17,6 +17,7 @@
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/outlier"
 	"kumquatyard/internal/quarantine"
+	"kumquatyard/internal/ratelimit"
 	"kumquatyard/internal/retry"
 )
 
@@ -51,6 +52,9 @@
 	// Quarantine judges the parts of prompts by the servers that ended under them; New
 	// creates one if it is nil.
 	Quarantine *quarantine.Tracker
+	// Limits holds the limits of request rates that servers name; New creates one for a
+	// single instance if it is nil.
+	Limits *ratelimit.Tracker
 	// MarkLeaving is called with a server whose answer says that it is leaving; may be
 	// nil.
 	MarkLeaving func(*fleet.Server)
@@ -82,6 +86,10 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(o.Log)
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.New("", o.Log)
+		o.Limits.SetInstances(nil, time.Now())
+	}
 	return &Server{Options: o, streams: newStreams(), outliers: outlier.New(ejectionSettings)}
 }
 
@@ -203,6 +211,7 @@
 	isKnown := func(id machine.ID) bool { _, ok := known[id]; return ok }
 	s.Predictor.Retain(isKnown)
 	s.backoffs.retain(isKnown)
+	s.Limits.Retain(isKnown, now)
 	s.suspects.Range(func(id, _ any) bool {
 		if !isKnown(id.(machine.ID)) {
 			s.suspects.Delete(id)
