limit: requests refused because a pool is at its limits count as its demand

They were not recorded, so that a pool whose servers name limits looked idle and would be made smaller. TestDemandOfAPoolAtItsLimitsCounts: 0 tokens a second before, over 1000 now.

--- a/internal/serve/ratelimit_test.go
+++ b/internal/serve/ratelimit_test.go
@@ -239,3 +239,25 @@
 		}
 	})
 }
+
+// What callers ask of a pool that is at its limits counts as demand, so that servers are
+// ordered rather than released.
+func TestDemandOfAPoolAtItsLimitsCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &limitedServers{limits: make(map[machine.ID]float64), told: make(map[told]time.Time)}
+		for n := range 5 {
+			servers.limits[machine.ID(fmt.Sprint("s", n))] = 0.1
+		}
+		f := newLimitedFixtures(servers, 1)[0]
+		for range 100 {
+			req := request(once)
+			req.Prompt = promptOf(1, 2)
+			_ = f.Serve(t.Context(), req, &fakeCaller{})
+			time.Sleep(100 * time.Millisecond)
+		}
+		// Ten requests a second of 200 tokens and some output, refused ones counted half.
+		if got := f.Demand.Total("p", time.Now()); got < 1000 {
+			t.Errorf("the demand is %.0f tokens a second, want at least 1000", got)
+		}
+	})
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -147,6 +147,7 @@
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "all servers of the pool turn requests away")
 	}
 	if limited := r.server.limitedServers(servers, now); len(limited) > 0 {
+		r.recordDemand(&candidate{}, true, now)
 		wait := r.server.Limits.ReturnIn(r.pool, limited, now)
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "the servers of the pool are at the limits of their request rates")
 	}
