--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -98,6 +98,9 @@
 	fields := r.fields(c)
 	fields["event"] = "attempt_failed"
 	fields["verdict"] = contract.VerdictOf(err)
+	if contract.VerdictOf(err) == contract.MayHaveRun {
+		fields["identity"] = strconv.FormatUint(r.identity(), 16)
+	}
 	if r.req.Prompt != nil && contract.VerdictOf(err) != contract.NotRun {
 		fields["parts"] = formatParts(r.parts)
 		fields["answer_begun"] = r.answerBegun
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -59,6 +59,8 @@
 	answered bool
 	// parts are the shared parts of the prompt.
 	parts []uint64
+	// identityHash is the request's Identity; 0 until it is needed.
+	identityHash uint64
 	// framing is how the server of the last answer marks its end, and incompleteBytes the
 	// number of bytes that it sent after the last complete event.
 	framing         frame.Framing
