poison-request: a request under which servers end is not sent on when it comes again

One request ended each server that ran it; it was repeated at a second one each time, and came again at any instance: 17 and 21 servers ended.

Cause: nothing related the ends of servers to the request that came again. Evidence (internal/quarantine) was about parts of prompts only, and plain services have none. Class: a poison message, work that ends whoever does it and is redelivered without bound.

Fix: the same evidence, exchange and bounds for a second kind of subject, a request's identity (hash of workspace, method, host, target, body; computed once something is known against any request). After the third end it is refused at once with the time until the quarantine ends; after the second it is not repeated and goes out once at a time. Ends at servers that were lost at once, or under another quarantined request, do not suffice. Ends that a request explains do not count against the parts of its prompt. A 5xx of a server that lives on clears nothing.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -380,7 +380,7 @@
 	i.Log.WithFields(logrus.Fields{"event": "instances_changed", "before": before, "now": n}).Info("number of instances changed; dividing the quotas and the retry budget among them again")
 	i.ledger.SetInstances(n, i.exchange.MaxAge())
 	i.levels.SetInstances(n)
-	i.quarantine.SetSettleTime(i.exchange.MaxAge() * 3 / 2)
+	i.quarantine.SetInstances(n, i.exchange.MaxAge()*3/2)
 	i.updateRetryBudget()
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -378,3 +378,22 @@
 	observe(ratelimit.Limit{})
 	await(t, "all instances to know of its end", allKnow(false))
 }
+
+// Ends of servers under one request, each seen by another instance, are added up by all.
+func TestEvidenceAgainstARequestAddsUp(t *testing.T) {
+	c := newCluster(t, map[string]int{"a": 2, "b": 2})
+	c.allKnow()
+	const identity = 1 << 40
+	for n, name := range []string{"a0", "b0", "b1"} {
+		ended := time.Now().Add(time.Duration(n-6) * 200 * time.Millisecond)
+		c.instances[name].quarantine.RecordLoss(quarantine.Loss{Server: fmt.Sprint(n), Request: fmt.Sprint(n), Identity: identity, SentAt: ended.Add(-20 * time.Millisecond)}, ended)
+	}
+	await(t, "all instances to hold the request back", func() bool {
+		for _, i := range c.instances {
+			if _, held := i.quarantine.QuarantinedRequest(identity, time.Now()); !held {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -22,31 +22,43 @@
 	suspectMoments = 2
 	// maxQuarantined bounds the quarantined parts.
 	maxQuarantined = 16
-	// maxLosses bounds the losses that are kept of a part, the earliest since its last
+	// maxLosses bounds the losses that are kept of a subject, the earliest since its last
 	// answer.
 	maxLosses = 32
 )
 
-// lossKey identifies a loss by hashes of the server's incarnation and of the request.
+// lossKey identifies a loss by hashes of the server's incarnation and of the request: of a
+// part's evidence by the request's identity, so that one that comes again counts once, and
+// of a request's by its attempt.
 type lossKey struct{ server, request uint32 }
 
 // loss is the end of a server before it had answered a request.
 type loss struct {
-	at    time.Time
-	begun bool
+	at time.Time
+	// sentAt is when the request was sent to the server.
+	sentAt time.Time
+	begun  bool
 }
 
-// evidence is what is known of a part.
+// evidence is what is known of a subject: a part of prompts or a request.
 type evidence struct {
 	losses map[lossKey]loss
 	// lastLossAt is the time of the last loss, also of one that is not kept.
 	lastLossAt time.Time
-	// answeredAt is when a server answered a request with the part last; zero if that is
-	// not known.
+	// answeredAt is when a server answered on the subject last; zero if that is not known.
 	answeredAt time.Time
 	// changedAt is when this instance learned something new.
 	changedAt   time.Time
 	quarantined bool
+	// sends is the number of messages with this since it changed, and sentAt the time of the
+	// last one. They are used for requests only.
+	sends  int
+	sentAt time.Time
+}
+
+// change records that this instance learned something new.
+func (e *evidence) change(now time.Time) {
+	e.changedAt, e.sends = now, 0
 }
 
 // makeRoom removes a loss if there are too many: one from before the last answer, or the
@@ -154,67 +166,3 @@
 	}
 	return n
 }
-
-// judgment is what follows from the evidence.
-type judgment struct {
-	quarantined, suspected map[uint64]bool
-	// dueAt is when the evidence has to be judged again although nothing was added; zero if
-	// it need not be.
-	dueAt time.Time
-}
-
-// evaluate judges the parts. The part with the most evidence is judged first, and the
-// servers that ended under a quarantined part do not speak against the other parts that
-// were there: sound requests end with their servers. An answer on a part may be known
-// settleTime later; until then no part is quarantined.
-func evaluate(parts map[uint64]*evidence, settleTime time.Duration, now time.Time) judgment {
-	quarantined, suspected := make(map[uint64]bool), make(map[uint64]bool)
-	var dueAt time.Time
-	explained := make(map[uint32]bool)
-	suspects := make(map[uint64]*evidence)
-	for id, e := range parts {
-		if len(e.losses) >= suspectMoments && e.lastLossAt.After(e.answeredAt) {
-			suspects[id] = e
-		}
-	}
-	for len(quarantined) < maxQuarantined {
-		id, most := strongest(suspects, quarantined, explained)
-		if !most.isConclusive() {
-			break
-		}
-		if settled := most.since.Add(settleTime); settled.After(now) && !suspects[id].quarantined {
-			dueAt = settled
-			break
-		}
-		quarantined[id] = true
-		for key := range parts[id].losses {
-			explained[key.server] = true
-		}
-	}
-	for id, e := range suspects {
-		if !quarantined[id] && e.count(explained).moments >= suspectMoments {
-			suspected[id] = true
-		}
-	}
-	return judgment{quarantined, suspected, dueAt}
-}
-
-// strongest returns the part with the most evidence against it among those that are not
-// quarantined and for which the evidence is conclusive; 0 if there is none.
-func strongest(parts map[uint64]*evidence, quarantined map[uint64]bool, explained map[uint32]bool) (uint64, tally) {
-	var best uint64
-	var most tally
-	for id, e := range parts {
-		if quarantined[id] {
-			continue
-		}
-		t := e.count(explained)
-		if !t.isConclusive() {
-			continue
-		}
-		if best == 0 || t.exceeds(most) || !most.exceeds(t) && id < best {
-			best, most = id, t
-		}
-	}
-	return best, most
-}
--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -16,7 +16,11 @@
 	contactTime = 3 * time.Second
 	maxLate     = 3
 	zones       = 3
+	// restartTime is how long a server that ended is away.
+	restartTime = 2500 * time.Millisecond
 	firstDeadly = 666
+	// firstPoison is the identity of the first request that ends each server that runs it.
+	firstPoison = 1 << 40
 )
 
 // cluster simulates instances that exchange evidence in two levels, with servers that end
@@ -37,6 +41,18 @@
 	ends, arrivals map[uint64][]time.Time
 	requests       int
 	refusedSound   int
+	// attempts is the number of callers' attempts. lost counts the sound requests that were
+	// not answered at the last of two attempts, by the time of the first, in ticks.
+	attempts int
+	returns  []returning
+	lost     map[int]int
+	step     int
+}
+
+// returning is a caller that comes again.
+type returning struct {
+	due time.Time
+	run
 }
 
 type message struct {
@@ -53,16 +69,31 @@
 	parts    []uint64
 	begins   time.Time
 	tries    int
+	// identity is the same for a request that comes again, and returns the number of times
+	// that it did; firstStep is when it came first.
+	identity  uint64
+	returns   int
+	firstStep int
+	acquired  bool
+	sentAt    time.Time
+}
+
+// deadly returns the part or the identity under which servers end, 0 if there is none.
+func (r *run) deadly() uint64 {
+	if r.identity >= firstPoison {
+		return r.identity
+	}
+	return deadlyPartOf(r.parts)
 }
 
 func newCluster(random *rand.Rand, instances, servers int, lossRate float64, settleTime time.Duration) *cluster {
 	c := &cluster{
 		random: random, now: start, sumTicks: 2, lossRate: lossRate, aliveAt: make([]time.Time, servers), incarnation: make([]int, servers),
-		runs: make([][]run, servers), ends: make(map[uint64][]time.Time), arrivals: make(map[uint64][]time.Time),
+		runs: make([][]run, servers), ends: make(map[uint64][]time.Time), arrivals: make(map[uint64][]time.Time), lost: make(map[int]int),
 	}
 	for range instances {
 		tr := newTracker()
-		tr.SetSettleTime(settleTime)
+		tr.SetInstances(instances, settleTime)
 		c.trackers = append(c.trackers, tr)
 	}
 	return c
@@ -130,35 +161,73 @@
 
 // request sends a request to a random server that is alive, unless it is held back.
 func (c *cluster) request(r run) {
-	deadly := deadlyPartOf(r.parts)
-	if _, _, held := c.trackers[r.instance].Quarantined(r.parts, c.now); held {
+	deadly, tracker := r.deadly(), c.trackers[r.instance]
+	_, _, heldPart := tracker.Quarantined(r.parts, c.now)
+	if _, held := tracker.QuarantinedRequest(r.identity, c.now); held || heldPart {
 		if deadly == 0 {
 			c.refusedSound++
 		}
+		c.fail(r)
 		return
 	}
-	if r.tries > 0 && c.trackers[r.instance].Suspected(r.parts) {
+	isSuspected := tracker.SuspectedRequest(r.identity)
+	if r.tries > 0 && (tracker.Suspected(r.parts) || isSuspected) {
+		c.fail(r)
 		return
 	}
-	s := c.random.IntN(len(c.runs))
-	if c.aliveAt[s].After(c.now) {
+	if isSuspected {
+		if !tracker.Acquire(r.identity, c.random.Float64()) {
+			c.fail(r)
+			return
+		}
+		r.acquired = true
+	}
+	var alive []int
+	for s, at := range c.aliveAt {
+		if !at.After(c.now) {
+			alive = append(alive, s)
+		}
+	}
+	if len(alive) == 0 {
+		c.fail(r)
 		return
 	}
+	s := alive[c.random.IntN(len(alive))]
 	if deadly != 0 {
 		c.arrivals[deadly] = append(c.arrivals[deadly], c.now)
 	}
 	r.begins = c.now.Add(time.Duration(30+c.random.IntN(90)) * time.Millisecond)
 	r.tries++
+	r.sentAt = c.now
 	c.runs[s] = append(c.runs[s], r)
 }
 
-// work lets the servers answer, and end under deadly parts.
+// fail ends a caller's attempt. The caller of a sound request comes again once.
+func (c *cluster) fail(r run) {
+	if r.acquired {
+		c.trackers[r.instance].Release(r.identity)
+	}
+	if r.deadly() != 0 {
+		return
+	}
+	if r.returns > 0 {
+		c.lost[r.firstStep]++
+		return
+	}
+	r.returns, r.tries, r.acquired = 1, 0, false
+	r.instance = c.random.IntN(len(c.trackers))
+	c.attempts++
+	r.id = fmt.Sprint("again", c.attempts)
+	c.returns = append(c.returns, returning{c.now.Add(time.Duration(200+c.random.IntN(800)) * time.Millisecond), r})
+}
+
+// work lets the servers answer, and end under deadly parts and requests.
 func (c *cluster) work() {
 	for s := range c.runs {
 		var left []run
 		var killer uint64
 		for _, r := range c.runs[s] {
-			deadly := deadlyPartOf(r.parts)
+			deadly := r.deadly()
 			switch {
 			case r.begins.After(c.now):
 				left = append(left, r)
@@ -166,7 +235,11 @@
 				killer = deadly
 				left = append(left, r)
 			default:
+				if r.acquired {
+					c.trackers[r.instance].Release(r.identity)
+				}
 				c.trackers[r.instance].RecordAnswer(r.parts, c.now)
+				c.trackers[r.instance].RecordRequestAnswer(r.identity, c.now)
 			}
 		}
 		c.runs[s] = left
@@ -181,42 +254,57 @@
 func (c *cluster) end(s int) {
 	lost := c.runs[s]
 	c.runs[s] = nil
-	c.aliveAt[s] = c.now.Add(2500 * time.Millisecond)
+	c.aliveAt[s] = c.now.Add(restartTime)
 	c.incarnation[s]++
 	for _, r := range lost {
 		c.trackers[r.instance].RecordLoss(Loss{
-			Server: fmt.Sprint(s, "/", c.incarnation[s]), Request: r.id, Parts: r.parts, Begun: !r.begins.After(c.now),
+			Server: fmt.Sprint(s, "/", c.incarnation[s]), Request: r.id, Identity: r.identity, SentAt: r.sentAt, Parts: r.parts, Begun: !r.begins.After(c.now),
 		}, c.now)
 	}
 	for _, r := range lost {
 		if r.tries < 2 {
 			c.request(r)
+		} else {
+			c.fail(r)
 		}
 	}
 }
 
 // arrive sends the requests of one tick: some with each deadly part, and sound ones that
-// share their caller's part.
+// share their caller's part, and those that come again.
 func (c *cluster) arrive(deadly, sound int) {
+	var later []returning
+	for _, r := range c.returns {
+		if r.due.After(c.now) {
+			later = append(later, r)
+		}
+	}
+	due := c.returns
+	c.returns = later
+	for _, r := range due {
+		if !r.due.After(c.now) {
+			c.request(r.run)
+		}
+	}
 	for n := range deadly {
 		if c.random.Float64() < 0.7 {
 			c.requests++
-			c.request(run{instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("d", c.requests), parts: []uint64{1, firstDeadly + uint64(n)}})
+			c.request(run{instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("d", c.requests), parts: []uint64{1, firstDeadly + uint64(n)}, identity: uint64(c.requests)})
 		}
 	}
 	for range sound {
 		c.requests++
 		session := 10 + uint64(c.random.IntN(40))
-		c.request(run{instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("s", c.requests), parts: []uint64{1 + session%3, session}})
+		c.request(run{instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("s", c.requests), parts: []uint64{1 + session%3, session}, identity: uint64(c.requests), firstStep: c.step})
 	}
 }
 
-// late returns the number of requests with a part that reached servers later than
-// contactTime after the fifth end under it.
-func (c *cluster) late(part uint64) int {
+// late returns the number of requests with a part, or of copies of a request, that reached
+// servers later than contactTime after the given end under it, counted from 1.
+func (c *cluster) late(subject uint64, end int) int {
 	n := 0
-	for _, at := range c.arrivals[part] {
-		if len(c.ends[part]) >= 5 && at.Sub(c.ends[part][4]) > contactTime {
+	for _, at := range c.arrivals[subject] {
+		if ends := c.ends[subject]; len(ends) >= end && at.Sub(ends[end-1]) > contactTime {
 			n++
 		}
 	}
@@ -227,7 +315,7 @@
 // that are held back at the end.
 func (c *cluster) check(t interface{ Fatalf(string, ...any) }, deadly int) {
 	for n := range deadly {
-		if late := c.late(firstDeadly + uint64(n)); late > maxLate {
+		if late := c.late(firstDeadly+uint64(n), 5); late > maxLate {
 			t.Fatalf("%d requests with part %d reached servers later than %v after the fifth of %d ends", late, firstDeadly+n, contactTime, len(c.ends[firstDeadly+uint64(n)]))
 		}
 	}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -14,36 +14,73 @@
 	// the first fullTime of each second, for instances that have just started.
 	newsTime = 1500 * time.Millisecond
 	fullTime = 200 * time.Millisecond
-	// maxMessageParts bounds the parts in a message.
-	maxMessageParts = 24
+	// maxMessageParts and maxMessageRequests bound the parts and the requests in a message.
+	maxMessageParts    = 24
+	maxMessageRequests = 48
+	// requestSends is the number of messages in which news of a request are told, since some
+	// are lost; refreshInterval is how often what is known of suspected ones is told again.
+	requestSends    = 12
+	refreshInterval = 5 * time.Second
+	// maxRequestLossAge is the age up to which losses of requests are accepted, for the same
+	// reason as maxLossAge.
+	maxRequestLossAge = requestRetention / 2
 	// maxLossAge is the age up to which losses of parts that are not quarantined are
 	// accepted. It is below lossRetention, so that instances do not tell each other of a
 	// loss for ever.
 	maxLossAge = lossRetention / 2
 )
 
-// FormatPart returns the id of a part as callers write it.
-func FormatPart(id uint64) string { return strconv.FormatUint(id, 16) }
+// FormatID returns the id of a part as callers write it, or the identity of a request.
+func FormatID(id uint64) string { return strconv.FormatUint(id, 16) }
 
 // Evidence returns the message form of the evidence for the other instances: what is new,
 // and now and then all of it.
 func (t *Tracker) Evidence(now time.Time) []*pb.PartEvidence {
-	if len(t.view.Load().tracked) == 0 {
+	if !t.view.Load().isTracking {
 		return nil
 	}
-	full := now.Sub(now.Truncate(time.Second)) < fullTime
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return append(t.partEvidence(now), t.requestEvidence(now)...)
+}
+
+func (t *Tracker) partEvidence(now time.Time) []*pb.PartEvidence {
+	full := now.Sub(now.Truncate(time.Second)) < fullTime
 	var ids []uint64
-	for id, e := range t.parts {
+	for id, e := range t.parts.evidence {
 		if now.Sub(e.changedAt) < newsTime || full {
 			ids = append(ids, id)
 		}
 	}
 	slices.SortFunc(ids, t.compareParts)
-	list := make([]*pb.PartEvidence, 0, min(len(ids), maxMessageParts))
-	for _, id := range ids[:min(len(ids), maxMessageParts)] {
-		list = append(list, encode(id, t.parts[id], now))
+	ids = ids[:min(len(ids), maxMessageParts)]
+	list := make([]*pb.PartEvidence, len(ids))
+	for n, id := range ids {
+		list[n] = encode(id, t.parts.evidence[id], now)
+	}
+	return list
+}
+
+// requestEvidence returns the message form of what is known of requests: news in
+// requestSends messages each, and what is suspected now and then.
+func (t *Tracker) requestEvidence(now time.Time) []*pb.PartEvidence {
+	requests := t.requests.evidence
+	var ids []uint64
+	for id, e := range requests {
+		if e.sends < requestSends || len(e.losses) >= suspectServers && now.Sub(e.sentAt) >= refreshInterval {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(requests[a].sends, requests[b].sends), cmp.Compare(len(requests[b].losses), len(requests[a].losses)), cmp.Compare(a, b))
+	})
+	ids = ids[:min(len(ids), maxMessageRequests)]
+	list := make([]*pb.PartEvidence, len(ids))
+	for n, id := range ids {
+		e := requests[id]
+		e.sends, e.sentAt = e.sends+1, now
+		list[n] = encode(id, e, now)
+		list[n].IsRequest = true
 	}
 	return list
 }
@@ -51,7 +88,7 @@
 // compareParts orders the parts by how much the other instances need to know of them:
 // quarantined ones, those with more losses, those that changed last.
 func (t *Tracker) compareParts(a, b uint64) int {
-	first, second := t.parts[a], t.parts[b]
+	first, second := t.parts.evidence[a], t.parts.evidence[b]
 	if first.quarantined != second.quarantined {
 		if first.quarantined {
 			return -1
@@ -71,6 +108,7 @@
 		m.Servers = append(m.Servers, key.server)
 		m.Requests = append(m.Requests, key.request)
 		m.AgesMs = append(m.AgesMs, uint32(max(now.Sub(l.at).Milliseconds(), 0)))
+		m.SentAgesMs = append(m.SentAgesMs, uint32(max(now.Sub(l.sentAt).Milliseconds(), 0)))
 		m.Begun = append(m.Begun, l.begun)
 	}
 	if !e.answeredAt.IsZero() {
@@ -88,25 +126,38 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range list {
-		t.mergePart(m, now)
+		if m.GetIsRequest() {
+			t.merge(t.requests, m, maxRequestLossAge, now)
+			continue
+		}
+		oldest := maxLossAge
+		if m.GetQuarantined() {
+			oldest = quarantineTime
+		}
+		t.merge(t.parts, m, oldest, now)
 	}
 	t.update(now)
 }
 
-func (t *Tracker) mergePart(m *pb.PartEvidence, now time.Time) {
-	oldest := maxLossAge
-	if m.GetQuarantined() {
-		oldest = quarantineTime
-	}
-	n := min(len(m.GetServers()), len(m.GetRequests()), len(m.GetAgesMs()), len(m.GetBegun()))
+// merge adds the evidence of another instance on a part or a request, without losses older
+// than oldest.
+func (t *Tracker) merge(s *subjects, m *pb.PartEvidence, oldest time.Duration, now time.Time) {
+	n := min(len(m.GetServers()), len(m.GetRequests()), len(m.GetAgesMs()), len(m.GetSentAgesMs()), len(m.GetBegun()))
 	for i := range n {
 		age := milliseconds(m.GetAgesMs()[i])
-		if age < oldest {
-			t.addLoss(m.GetPart(), lossKey{m.GetServers()[i], m.GetRequests()[i]}, loss{now.Add(-age), m.GetBegun()[i]}, now)
+		if age >= oldest {
+			continue
+		}
+		key := lossKey{m.GetServers()[i], m.GetRequests()[i]}
+		l := loss{at: now.Add(-age), sentAt: now.Add(-milliseconds(m.GetSentAgesMs()[i])), begun: m.GetBegun()[i]}
+		if m.GetIsRequest() {
+			t.addRequestLoss(m.GetPart(), key, l, now)
+		} else {
+			t.addPartLoss(m.GetPart(), key, l, now)
 		}
 	}
 	if age := milliseconds(m.GetAnsweredAgeMs()); age > 0 {
-		t.addAnswer(m.GetPart(), now.Add(-age), now)
+		t.addAnswer(s, m.GetPart(), now.Add(-age), now)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,15 +1,17 @@
-// Package quarantine decides which parts of prompts are not sent to servers any more,
-// because servers end when they begin to answer on them.
+// Package quarantine decides which requests are not sent to servers any more, because
+// servers end under them: requests with a part of their prompt on which servers end when
+// they begin to answer, and single requests that end their servers and come again.
 //
 // A server that ends takes all requests with it that it was working on, so an end speaks
-// against each part of their prompts that had not been answered; the last part of a prompt
-// is its request's own and never counts. An answer on a part speaks for it again. The ends
-// that a quarantined part explains do not count against others. What an instance sees it
-// tells the others, so that all judge by the same evidence.
+// against each of them, and against each part of their prompts, unless they had been
+// answered; the last part of a prompt is its request's own and never counts. An answer
+// speaks for its request and parts again. The ends that a quarantined request or part
+// explains do not count against others; requests are judged first, since they are the more
+// specific. What an instance sees it tells the others, so that all judge by the same
+// evidence.
 package quarantine
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,19 +26,30 @@
 	lossRetention = 15 * time.Second
 	// quarantineTime is how long a part stays quarantined after its last loss.
 	quarantineTime = 10 * time.Minute
+	// requestRetention is how long a loss speaks against a request. It is longer than for
+	// parts, since a request may come again after minutes, and no sound one shares it.
+	requestRetention = 30 * time.Minute
 	// judgeInterval is the least time between two judgments, which bounds their cost while
 	// many requests are lost at once.
 	judgeInterval = 10 * time.Millisecond
-	// maxParts bounds the parts that are tracked.
-	maxParts = 128
+	// maxParts and maxRequests bound the parts and the requests that are tracked.
+	maxParts    = 128
+	maxRequests = 1024
 )
 
-var quarantinedTotal = metrics.NewCounter("kumquat_parts_quarantined_total")
+var (
+	quarantinedTotal         = metrics.NewCounter("kumquat_parts_quarantined_total")
+	quarantinedRequestsTotal = metrics.NewCounter("kumquat_requests_quarantined_total")
+)
 
 // Loss is the end of a server, not announced, before it had answered a request.
 type Loss struct {
-	// Server identifies the server's incarnation, and Request the request.
+	// Server identifies the server's incarnation, and Request the caller's attempt.
 	Server, Request string
+	// Identity is the same for a request that comes again; 0 if it is not known.
+	Identity uint64
+	// SentAt is when the request was sent to the server.
+	SentAt time.Time
 	// Parts are the shared parts of the request's prompt.
 	Parts []uint64
 	// Begun is set if the server had begun the answer.
@@ -48,21 +61,33 @@
 type Tracker struct {
 	log *logrus.Entry
 
-	mu      sync.Mutex
-	parts   map[uint64]*evidence
-	answers answers
+	mu              sync.Mutex
+	parts, requests *subjects
+	answers         answers
+	// inFlight holds the suspected requests that this instance has sent.
+	inFlight map[uint64]bool
 	// changed is set while the judgment does not cover the latest evidence, and dueAt is
 	// when it has to be renewed in any case.
 	changed    bool
 	judgedAt   time.Time
 	dueAt      time.Time
 	settleTime time.Duration
+	instances  int
 	view       atomic.Pointer[view]
 }
 
 // view is an immutable copy of the judgment.
 type view struct {
-	tracked   map[uint64]bool
+	// isTracking and isTrackingRequests are set if there is evidence at all, or on requests.
+	isTracking, isTrackingRequests bool
+	parts, requests                verdicts
+	// waiting and onTrial are those of the judgment of requests.
+	waiting map[uint64]time.Time
+	onTrial map[uint64]bool
+}
+
+// verdicts are those on parts or on requests.
+type verdicts struct {
 	suspected map[uint64]bool
 	// quarantined holds when each quarantine ends if no further server ends.
 	quarantined map[uint64]time.Time
@@ -70,23 +95,26 @@
 
 // New returns a Tracker that logs changes of its judgment.
 func New(log *logrus.Entry) *Tracker {
-	t := &Tracker{log: log, parts: make(map[uint64]*evidence), answers: newAnswers()}
+	t := &Tracker{
+		log: log, parts: newSubjects(maxParts, lossRetention), requests: newSubjects(maxRequests, requestRetention),
+		answers: newAnswers(), inFlight: make(map[uint64]bool),
+	}
 	t.view.Store(&view{})
 	return t
 }
 
-// SetSettleTime sets the time in which an answer at one instance becomes known at all
-// others.
-func (t *Tracker) SetSettleTime(d time.Duration) {
+// SetInstances sets the number of instances, and the time in which an answer at one becomes
+// known at all others.
+func (t *Tracker) SetInstances(n int, settleTime time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settleTime = d
+	t.instances, t.settleTime = n, settleTime
 }
 
 // Quarantined reports whether one of the parts is quarantined, which one, and for how
 // long.
 func (t *Tracker) Quarantined(parts []uint64, now time.Time) (part uint64, left time.Duration, ok bool) {
-	v := t.view.Load()
+	v := &t.view.Load().parts
 	if len(v.quarantined) == 0 {
 		return 0, 0, false
 	}
@@ -101,7 +129,7 @@
 // Suspected reports whether servers ended at several moments under one of the parts, so
 // that a request with it should not be repeated at another server.
 func (t *Tracker) Suspected(parts []uint64) bool {
-	v := t.view.Load()
+	v := &t.view.Load().parts
 	for _, id := range parts {
 		if _, quarantined := v.quarantined[id]; quarantined || v.suspected[id] {
 			return true
@@ -112,11 +140,19 @@
 
 // RecordLoss records the end of a server.
 func (t *Tracker) RecordLoss(l Loss, now time.Time) {
-	key := lossKey{hash(l.Server), hash(l.Request)}
+	server, attempt := hash(l.Server), hash(l.Request)
+	request := attempt
+	if l.Identity != 0 {
+		request = uint32(l.Identity)
+	}
+	ended := loss{at: now, sentAt: l.SentAt, begun: l.Begun}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range l.Parts {
-		t.addLoss(id, key, loss{now, l.Begun}, now)
+		t.addPartLoss(id, lossKey{server, request}, ended, now)
+	}
+	if l.Identity != 0 {
+		t.addRequestLoss(l.Identity, lossKey{server, attempt}, ended, now)
 	}
 	t.update(now)
 }
@@ -124,52 +160,19 @@
 // hash returns the hash by which messages identify an incarnation or a request.
 func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// addLoss adds a loss of a part, unless it is known.
-func (t *Tracker) addLoss(id uint64, key lossKey, l loss, now time.Time) {
-	e := t.track(id)
-	known, ok := e.losses[key]
-	if ok && (known.begun || !l.begun) {
-		return
-	}
-	if l.at.After(e.lastLossAt) {
-		e.lastLossAt = l.at
-	}
-	if ok {
-		l.at = known.at
-	} else if !e.makeRoom(l.at) {
-		return
-	}
-	e.losses[key] = l
-	e.changedAt, t.changed = now, true
-}
-
-// track returns the evidence on a part, and drops that on another one if there are too
-// many.
-func (t *Tracker) track(id uint64) *evidence {
-	if e := t.parts[id]; e != nil {
-		return e
-	}
-	if len(t.parts) >= maxParts {
-		t.dropOldestPart()
-	}
-	e := &evidence{losses: make(map[lossKey]loss), answeredAt: t.answers.last(id)}
-	t.parts[id] = e
-	return e
+func (t *Tracker) addPartLoss(id uint64, key lossKey, l loss, now time.Time) {
+	e := t.parts.track(id, t.answers.last(id))
+	t.changed = t.parts.addLoss(e, key, l, now) || t.changed
 }
 
-// dropOldestPart drops the part that is not quarantined and whose last loss is the oldest.
-func (t *Tracker) dropOldestPart() {
-	var oldest uint64
-	var at time.Time
-	found := false
-	for id, e := range t.parts {
-		last := e.lastLossAt
-		if !e.quarantined && (!found || last.Before(at)) {
-			oldest, at, found = id, last, true
-		}
+func (t *Tracker) addRequestLoss(id uint64, key lossKey, l loss, now time.Time) {
+	e := t.requests.track(id, time.Time{})
+	if !t.requests.addLoss(e, key, l, now) {
+		return
 	}
-	if found {
-		delete(t.parts, oldest)
+	t.changed = true
+	if len(e.losses) >= suspectServers {
+		t.judgedAt = time.Time{} // judge at once: the next copy may follow immediately
 	}
 }
 
@@ -179,7 +182,7 @@
 	defer t.mu.Unlock()
 	for _, id := range parts {
 		t.answers.add(id, now)
-		t.addAnswer(id, now, now)
+		t.addAnswer(t.parts, id, now, now)
 	}
 	t.update(now)
 }
@@ -187,10 +190,10 @@
 // answerStep is by how much a later answer must exceed the known one to count as news.
 const answerStep = 500 * time.Millisecond
 
-// addAnswer records an answer on a part if it is news: it clears losses, or is much later
+// addAnswer records an answer on a subject if it is news: it clears losses, or is much later
 // than the known one.
-func (t *Tracker) addAnswer(id uint64, at, now time.Time) {
-	e := t.parts[id]
+func (t *Tracker) addAnswer(s *subjects, id uint64, at, now time.Time) {
+	e := s.evidence[id]
 	if e == nil || !at.After(e.answeredAt) {
 		return
 	}
@@ -198,76 +201,19 @@
 	if !clears && at.Sub(e.answeredAt) < answerStep {
 		return
 	}
-	e.answeredAt, e.changedAt = at, now
+	e.answeredAt = at
+	e.change(now)
 	t.changed = t.changed || clears
 }
 
 // Expire drops old evidence. It is called several times a second.
 func (t *Tracker) Expire(now time.Time) {
-	if len(t.view.Load().tracked) == 0 {
+	if !t.view.Load().isTracking {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.parts {
-		if e.quarantined && now.Sub(e.lastLossAt) < quarantineTime {
-			continue
-		}
-		before := len(e.losses)
-		maps.DeleteFunc(e.losses, func(_ lossKey, l loss) bool { return now.Sub(l.at) >= lossRetention })
-		if len(e.losses) == 0 {
-			delete(t.parts, id)
-		}
-		t.changed = t.changed || len(e.losses) < before
-	}
+	partsExpired, requestsExpired := t.parts.expire(now), t.requests.expire(now)
+	t.changed = t.changed || partsExpired || requestsExpired
 	t.update(now)
 }
-
-// update judges the parts by the evidence, if that has changed, and publishes the judgment.
-// It is called with mu held.
-func (t *Tracker) update(now time.Time) {
-	isDue := !t.dueAt.IsZero() && !now.Before(t.dueAt)
-	if !t.changed && !isDue || now.Sub(t.judgedAt) < judgeInterval {
-		return
-	}
-	j := evaluate(t.parts, t.settleTime, now)
-	t.changed, t.judgedAt, t.dueAt = false, now, j.dueAt
-	quarantined := j.quarantined
-	v := &view{tracked: make(map[uint64]bool, len(t.parts)), suspected: j.suspected, quarantined: make(map[uint64]time.Time, len(quarantined))}
-	for id, e := range t.parts {
-		v.tracked[id] = true
-		if quarantined[id] {
-			v.quarantined[id] = e.lastLossAt.Add(quarantineTime)
-		}
-		if quarantined[id] != e.quarantined {
-			e.quarantined, e.changedAt = quarantined[id], now
-			t.logChange(id, e, now)
-		}
-	}
-	t.logDropped(v.quarantined)
-	t.view.Store(v)
-}
-
-// logChange logs that a part is quarantined or not any more.
-func (t *Tracker) logChange(id uint64, e *evidence, now time.Time) {
-	count := e.count(nil)
-	entry := t.log.WithFields(logrus.Fields{
-		"part": FormatPart(id), "moments": count.moments, "begun_moments": count.begunMoments, "requests": count.requests,
-		"last_loss_age_ms": now.Sub(e.lastLossAt).Milliseconds(),
-	})
-	if e.quarantined {
-		quarantinedTotal.Inc()
-		entry.WithField("event", "part_quarantined").Warn("servers end when they begin to answer on a part of prompts; requests with it are refused")
-		return
-	}
-	entry.WithField("event", "part_released").Info("the part of prompts is no longer held responsible for ended servers")
-}
-
-// logDropped logs the quarantines that ended because their evidence expired.
-func (t *Tracker) logDropped(quarantined map[uint64]time.Time) {
-	for id := range t.view.Load().quarantined {
-		if _, ok := quarantined[id]; !ok && t.parts[id] == nil {
-			t.log.WithFields(logrus.Fields{"event": "part_released", "part": FormatPart(id)}).Info("no server has ended under the part of prompts for long; requests with it are sent again")
-		}
-	}
-}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -50,7 +50,7 @@
 		t.Error("released early")
 	}
 	tr.Expire(now.Add(quarantineTime))
-	if tr.holds(666, now.Add(quarantineTime)) || len(tr.parts) != 0 {
+	if tr.holds(666, now.Add(quarantineTime)) || len(tr.parts.evidence) != 0 {
 		t.Error("still quarantined long after the last end")
 	}
 }
@@ -190,8 +190,8 @@
 			t.Fatalf("%d parts in a message", got)
 		}
 	}
-	if len(tr.parts) > maxParts || len(tr.parts[1000+parts-1].losses) > maxLosses {
-		t.Errorf("%d parts are kept", len(tr.parts))
+	if len(tr.parts.evidence) > maxParts || len(tr.parts.evidence[1000+parts-1].losses) > maxLosses {
+		t.Errorf("%d parts are kept", len(tr.parts.evidence))
 	}
 	if !tr.holds(666, at(2000)) {
 		t.Error("the quarantined part was dropped")
--- /dev/null
+++ b/internal/quarantine/subjects.go
@@ -0,0 +1,93 @@
+package quarantine
+
+import (
+	"maps"
+	"time"
+)
+
+// subjects holds the evidence on the parts of prompts, or on requests.
+type subjects struct {
+	evidence map[uint64]*evidence
+	// max bounds the subjects.
+	max int
+	// retention is how long a loss counts against a subject that is not quarantined.
+	retention time.Duration
+}
+
+func newSubjects(limit int, retention time.Duration) *subjects {
+	return &subjects{evidence: make(map[uint64]*evidence), max: limit, retention: retention}
+}
+
+// track returns the evidence on a subject; a new one was answered last at answeredAt. If
+// there are too many subjects, another one is dropped.
+func (s *subjects) track(id uint64, answeredAt time.Time) *evidence {
+	if e := s.evidence[id]; e != nil {
+		return e
+	}
+	if len(s.evidence) >= s.max {
+		s.dropOne()
+	}
+	e := &evidence{losses: make(map[lossKey]loss), answeredAt: answeredAt}
+	s.evidence[id] = e
+	return e
+}
+
+// dropOne drops a subject that is not quarantined: of those with one loss, or else of all,
+// the one whose last loss is the oldest.
+func (s *subjects) dropOne() {
+	var least uint64
+	var chosen *evidence
+	for id, e := range s.evidence {
+		if !e.quarantined && (chosen == nil || e.isLessThan(chosen)) {
+			least, chosen = id, e
+		}
+	}
+	if chosen != nil {
+		delete(s.evidence, least)
+	}
+}
+
+// isLessThan reports whether e is dropped before o.
+func (e *evidence) isLessThan(o *evidence) bool {
+	if single := len(e.losses) < 2; single != (len(o.losses) < 2) {
+		return single
+	}
+	return e.lastLossAt.Before(o.lastLossAt)
+}
+
+// addLoss adds a loss of a subject, unless it is known, and reports whether it was added.
+func (s *subjects) addLoss(e *evidence, key lossKey, l loss, now time.Time) bool {
+	known, ok := e.losses[key]
+	if ok && (known.begun || !l.begun) {
+		return false
+	}
+	if l.at.After(e.lastLossAt) {
+		e.lastLossAt = l.at
+	}
+	if ok {
+		l.at = known.at
+	} else if !e.makeRoom(l.at) {
+		return false
+	}
+	e.losses[key] = l
+	e.change(now)
+	return true
+}
+
+// expire drops old losses, and reports whether there were any. The evidence on quarantined
+// subjects is kept until the quarantine ends.
+func (s *subjects) expire(now time.Time) bool {
+	expired := false
+	for id, e := range s.evidence {
+		if e.quarantined && now.Sub(e.lastLossAt) < quarantineTime {
+			continue
+		}
+		before := len(e.losses)
+		maps.DeleteFunc(e.losses, func(_ lossKey, l loss) bool { return now.Sub(l.at) >= s.retention })
+		if len(e.losses) == 0 {
+			delete(s.evidence, id)
+		}
+		expired = expired || len(e.losses) < before
+	}
+	return expired
+}
--- a/internal/serve/deadly_test.go
+++ b/internal/serve/deadly_test.go
@@ -133,7 +133,7 @@
 		f.Backend = servers
 		send := func(n int, parts ...uint64) error {
 			req := request(resumable)
-			req.ID, req.Prompt = fmt.Sprint(n), promptOf(parts...)
+			req.ID, req.Body, req.Prompt = fmt.Sprint(n), fmt.Append(nil, n), promptOf(parts...)
 			return f.Serve(t.Context(), req, &fakeCaller{})
 		}
 		const runTime = 12 * time.Second
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -121,9 +122,10 @@
 }
 
 // recordLoss records an attempt that broke off because its server ended without notice, as
-// evidence against the parts of its prompt, unless it had been answered at length.
+// evidence against the request and the parts of its prompt, unless it had been answered at
+// length.
 func (r *run) recordLoss(server *fleet.Server, err error) {
-	if len(r.parts) == 0 || r.answered || r.ctx.Err() != nil || contract.VerdictOf(err) == contract.NotRun {
+	if r.answered || r.ctx.Err() != nil || contract.VerdictOf(err) != contract.MayHaveRun {
 		return
 	}
 	if errors.Is(err, errFirstByteTimeout) {
@@ -133,7 +135,7 @@
 		return
 	}
 	r.server.Quarantine.RecordLoss(quarantine.Loss{
-		Server: incarnationOf(server), Request: r.req.ID, Parts: r.parts, Begun: r.answerBegun,
+		Server: incarnationOf(server), Request: r.req.ID, Identity: r.identity(), SentAt: r.sentAt, Parts: r.parts, Begun: r.answerBegun,
 	}, time.Now())
 }
 
@@ -160,28 +162,74 @@
 	}
 }
 
-// recordAnswered records that a server answered on the prompt's parts.
+// recordAnswered records that a server answered the request at length.
 func (r *run) recordAnswered() {
 	r.answered = true
-	r.server.Quarantine.RecordAnswer(r.parts, time.Now())
+	r.recordSurvived()
 }
 
-// refuseQuarantined returns the refusal of a request with a quarantined part, nil if there
-// is none.
+// recordSurvived records that a server answered the request, and on the prompt's parts, and
+// has not ended.
+func (r *run) recordSurvived() {
+	now := time.Now()
+	if len(r.parts) > 0 {
+		r.server.Quarantine.RecordAnswer(r.parts, now)
+	}
+	if r.server.Quarantine.TracksRequests() {
+		r.server.Quarantine.RecordRequestAnswer(r.identity(), now)
+	}
+}
+
+// refuseQuarantined returns the refusal of a request that is quarantined, or that has a
+// quarantined part; nil if there is none.
 func (r *run) refuseQuarantined(now time.Time) error {
-	part, left, ok := r.server.Quarantine.Quarantined(r.parts, now)
+	q := r.server.Quarantine
+	if q.TracksRequests() {
+		if left, ok := q.QuarantinedRequest(r.identity(), now); ok {
+			return contract.Refusal(contract.KindUnavailable, left, "servers end when they run this request")
+		}
+	}
+	part, left, ok := q.Quarantined(r.parts, now)
 	if !ok {
 		return nil
 	}
-	return contract.Refusal(contract.KindUnavailable, left, fmt.Sprintf("servers end when they answer on part %s of the prompt", quarantine.FormatPart(part)))
+	return contract.Refusal(contract.KindUnavailable, left, fmt.Sprintf("servers end when they answer on part %s of the prompt", quarantine.FormatID(part)))
+}
+
+// isSuspected reports whether servers ended under the request or a part of its prompt, so
+// that it is not repeated.
+func (r *run) isSuspected() bool {
+	q := r.server.Quarantine
+	return q.Suspected(r.parts) || q.TracksRequests() && q.SuspectedRequest(r.identity())
+}
+
+// acquire returns the refusal of a suspected request of which this instance has a copy in
+// flight; nil if it may be sent.
+func (r *run) acquire() error {
+	q := r.server.Quarantine
+	if r.acquired || !q.TracksRequests() || !q.SuspectedRequest(r.identity()) {
+		return nil
+	}
+	if !q.Acquire(r.identity(), rand.Float64()) {
+		return contract.Refusal(contract.KindUnavailable, r.retryAfter(retryAfterNoServer), "servers ended under this request, and another copy of it is in flight")
+	}
+	r.acquired = true
+	return nil
+}
+
+// release ends what acquire began.
+func (r *run) release() {
+	if r.acquired {
+		r.server.Quarantine.Release(r.identity())
+	}
 }
 
 // isWanted reports, right before the request is sent, whether the server accepts requests
-// and no part of the prompt was quarantined meanwhile. If so, the request is charged to the
-// server's limit.
+// and neither the request nor a part of its prompt was quarantined meanwhile. If so, the
+// request is charged to the server's limit.
 func (r *run) isWanted(server *fleet.Server) bool {
 	now := time.Now()
-	if _, _, quarantined := r.server.Quarantine.Quarantined(r.parts, now); quarantined {
+	if r.refuseQuarantined(now) != nil {
 		return false
 	}
 	if !r.server.backoffs.wanted(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
--- a/internal/serve/loss_test.go
+++ b/internal/serve/loss_test.go
@@ -40,7 +40,7 @@
 	f.Quarantine.RecordAnswer([]uint64{1}, time.Now())
 	for n := range 6 {
 		req := request(stream)
-		req.ID, req.Prompt = fmt.Sprint(n), promptOf(1, part, 100+uint64(n))
+		req.ID, req.Body, req.Prompt = fmt.Sprint(n), fmt.Append(nil, n), promptOf(1, part, 100+uint64(n))
 		_ = f.Serve(t.Context(), req, &fakeCaller{})
 		for _, s := range f.Snapshot().Servers["p"] {
 			s.StartedAtMs++ // the servers are back
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -25,6 +25,9 @@
 		return false, contract.Unavailable(contract.MayHaveRun, "the server's answer broke off", err)
 	}
 	failed := a.Status >= http.StatusInternalServerError
+	if a.Authentic && !failed {
+		r.recordSurvived()
+	}
 	r.server.observe(server.ID, failed)
 	if failed && r.mayRepeatFailure() {
 		return false, contract.Unavailable(contract.Ran, "the server failed the request", nil)
@@ -55,7 +58,7 @@
 // mayRepeatFailure reports whether the request is sent to another server after a
 // server's 5xx answer; otherwise that answer is forwarded to the caller.
 func (r *run) mayRepeatFailure() bool {
-	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || !r.hasUntriedServer() {
+	if !r.req.Route.MayRepeat() || r.attempts >= r.req.Route.MaxAttempts || r.ctx.Err() != nil || !r.hasUntriedServer() || r.isSuspected() {
 		return false
 	}
 	r.retryGranted = r.server.Budget.Take(r.pool, time.Now())
--- a/internal/serve/poison_test.go
+++ b/internal/serve/poison_test.go
@@ -48,15 +48,6 @@
 	return ok && time.Since(at) < restartTime
 }
 
-// end ends a server.
-func (p *plainServers) end(id machine.ID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isDown(id) {
-		p.endedAt[id] = time.Now()
-	}
-}
-
 // Send implements Backend.
 func (p *plainServers) Send(ctx context.Context, a *Attempt) (*Answer, error) {
 	isPoison := a.Request.Target == poisonTarget
@@ -158,3 +149,75 @@
 		})
 	}
 }
+
+// A sound request whose servers ended twice by chance is served when its caller comes back,
+// and a failure of a server that lives on does not clear a request that ends servers.
+func TestEndsByChanceAndFailures(t *testing.T) {
+	lost := func() *Answer { return truncatedAfter("") }
+	failed := func() *Answer {
+		a := ok("failed")
+		a.Status = http.StatusInternalServerError
+		return a
+	}
+	served := func() *Answer { return ok("done") }
+	tests := map[string]struct {
+		answers []func() *Answer
+		// sent is the number of attempts of four requests.
+		sent int
+		held bool
+	}{
+		"two ends by chance":   {[]func() *Answer{lost, lost, served, served, served}, 5, false},
+		"three ends":           {[]func() *Answer{lost, lost, lost}, 3, true},
+		"a failure in between": {[]func() *Answer{lost, failed, lost, failed, lost}, 5, true},
+		"answers in between":   {[]func() *Answer{lost, served, lost, served, lost, served, served}, 7, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := &endingBackend{ended: true}
+			f := newEndingFixture(b)
+			b.script = func(n int, _ context.Context, a *Attempt) (*Answer, error) {
+				if !a.Wanted() {
+					return nil, ErrUnwanted
+				}
+				return tt.answers[n](), nil
+			}
+			for n := range 4 {
+				_ = f.Serve(t.Context(), plainRequest(idempotent, n, "/orders/7"), &fakeCaller{})
+			}
+			req := plainRequest(idempotent, 9, "/orders/7")
+			_, held := f.Quarantine.QuarantinedRequest(req.Identity(), time.Now())
+			if len(b.attempts) != tt.sent || held != tt.held {
+				t.Errorf("%d attempts, held back: %v, want %d and %v", len(b.attempts), held, tt.sent, tt.held)
+			}
+		})
+	}
+}
+
+// What makes a request the same one: not its id or headers, but workspace, method, host,
+// target and body.
+func TestIdentity(t *testing.T) {
+	base := func() *Request {
+		return &Request{ID: "1", Method: "POST", Host: "h", Target: "/a?b", Body: []byte("x"), Workspace: &fleet.Workspace{Name: "w"}}
+	}
+	want := base().Identity()
+	tests := map[string]struct {
+		change func(*Request)
+		same   bool
+	}{
+		"id":         {func(r *Request) { r.ID = "2" }, true},
+		"header":     {func(r *Request) { r.Header = http.Header{"X": {"1"}} }, true},
+		"workspace":  {func(r *Request) { r.Workspace = nil }, false},
+		"method":     {func(r *Request) { r.Method = "PUT" }, false},
+		"host":       {func(r *Request) { r.Host = "g" }, false},
+		"query":      {func(r *Request) { r.Target = "/a?c" }, false},
+		"body":       {func(r *Request) { r.Body = []byte("y") }, false},
+		"moved byte": {func(r *Request) { r.Host, r.Target = "h/", "a?b" }, false},
+	}
+	for name, tt := range tests {
+		r := base()
+		tt.change(r)
+		if same := r.Identity() == want; same != tt.same {
+			t.Errorf("another %s: the same request: %v, want %v", name, same, tt.same)
+		}
+	}
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -61,6 +61,8 @@
 	parts []uint64
 	// identityHash is the request's Identity; 0 until it is needed.
 	identityHash uint64
+	// acquired is set while this is the only copy of a suspected request in flight.
+	acquired bool
 	// framing is how the server of the last answer marks its end, and incompleteBytes the
 	// number of bytes that it sent after the last complete event.
 	framing         frame.Framing
@@ -81,6 +83,7 @@
 	}
 	r.pool = r.req.Route.PickPool(seed())
 	r.server.Budget.Request(r.pool, time.Now())
+	defer r.release()
 	for {
 		choice, err := r.choose()
 		if err != nil {
@@ -122,6 +125,9 @@
 	if err := r.refuseQuarantined(now); err != nil {
 		return candidate{}, err
 	}
+	if err := r.acquire(); err != nil {
+		return candidate{}, err
+	}
 	p := r.placement(r.exclude, now)
 	p.prompt, p.target = r.req.Prompt, r.req.Route.LatencyTarget
 	p.predict = func(id machine.ID, assumed int) forecast.Estimate {
@@ -200,7 +206,7 @@
 	if r.headSent && !r.req.Route.Resumable {
 		return false
 	}
-	if !r.answered && r.server.Quarantine.Suspected(r.parts) {
+	if !r.answered && r.isSuspected() {
 		return false
 	}
 	if r.retryGranted {
