--- a/internal/serve/poison_test.go
+++ b/internal/serve/poison_test.go
@@ -183,6 +183,9 @@
 			}
 			for n := range 4 {
 				_ = f.Serve(t.Context(), plainRequest(idempotent, n, "/orders/7"), &fakeCaller{})
+				for _, s := range f.Snapshot().Servers["p"] {
+					s.StartedAtMs++ // the servers are back
+				}
 			}
 			req := plainRequest(idempotent, 9, "/orders/7")
 			_, held := f.Quarantine.QuarantinedRequest(req.Identity(), time.Now())
