poison-request: a suspected request is not sent to the last servers of its service

Two servers of three end under a request at its first arrival and its repeat; its next copy ended the third one, and all callers were refused for the 2.5 s until servers were back. While fewer servers serve than ended under it, a suspected request is refused as not run, for 4 s at most; the rest serves the sound ones. TestSuspectedRequestSparesTheLastServer: all servers down before, now one always serves.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -28,6 +28,7 @@
 		requests:           t.apply(requestKind, t.requests, requests.judgment, &before.requests, now),
 		waiting:            requests.waiting,
 		onTrial:            requests.onTrial,
+		ends:               requests.ends,
 	}
 	t.view.Store(v)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -84,6 +84,8 @@
 	// waiting and onTrial are those of the judgment of requests.
 	waiting map[uint64]time.Time
 	onTrial map[uint64]bool
+	// ends are those under the suspected requests.
+	ends map[uint64]requestEnds
 }
 
 // verdicts are those on parts or on requests.
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -15,6 +15,9 @@
 	// suspectServers is the number of ended servers from which on a request is not repeated,
 	// and is sent once at a time.
 	suspectServers = 2
+	// spareTime is how long after an end a suspected request is not sent while fewer servers
+	// serve than ended under it: the others are about to be back.
+	spareTime = 4 * time.Second
 	// maxQuarantinedRequests bounds the quarantined requests.
 	maxQuarantinedRequests = 256
 )
@@ -108,7 +111,7 @@
 func evaluateRequests(requests map[uint64]*evidence, settleTime time.Duration, now time.Time) requestJudgment {
 	j := requestJudgment{
 		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool), explained: make(map[uint32]bool)},
-		waiting:  make(map[uint64]time.Time), onTrial: make(map[uint64]bool),
+		waiting:  make(map[uint64]time.Time), onTrial: make(map[uint64]bool), ends: make(map[uint64]requestEnds),
 	}
 	list := suspects(requests)
 	for first := 0; first < len(list); {
@@ -121,6 +124,9 @@
 			if j.judge(s, settleTime, now) {
 				responsible = append(responsible, s)
 			}
+			if j.suspected[s.id] {
+				j.ends[s.id] = endsOf(s.evidence)
+			}
 		}
 		for _, s := range responsible {
 			for key := range s.losses {
@@ -140,6 +146,25 @@
 	waiting map[uint64]time.Time
 	// onTrial holds those under which servers enough ended, but all at once or under others.
 	onTrial map[uint64]bool
+	// ends are those under the suspected requests.
+	ends map[uint64]requestEnds
+}
+
+// requestEnds are the ends of servers under a request, by hashes of their incarnations.
+type requestEnds struct {
+	servers map[uint32]bool
+	lastAt  time.Time
+}
+
+// endsOf returns the ends under a request since its last answer.
+func endsOf(e *evidence) requestEnds {
+	ends := requestEnds{servers: make(map[uint32]bool), lastAt: e.lastLossAt}
+	for key, l := range e.losses {
+		if l.at.After(e.answeredAt) {
+			ends.servers[key.server] = true
+		}
+	}
+	return ends
 }
 
 // judge judges a request, and reports whether it is responsible for the ends under it.
@@ -198,6 +223,22 @@
 	return quarantined || v.suspected[identity]
 }
 
+// MustSpare reports whether a suspected request must not be sent for now, because fewer servers
+// serve than ended under it. serving are the incarnations of those that are said to serve.
+func (t *Tracker) MustSpare(identity uint64, serving []string, now time.Time) bool {
+	ends, ok := t.view.Load().ends[identity]
+	if !ok || now.Sub(ends.lastAt) >= spareTime {
+		return false
+	}
+	up := 0
+	for _, incarnation := range serving {
+		if !ends.servers[hash(incarnation)] {
+			up++
+		}
+	}
+	return up < len(ends.servers)
+}
+
 // RecordRequestAnswer records that a server answered a request.
 func (t *Tracker) RecordRequestAnswer(identity uint64, now time.Time) {
 	t.mu.Lock()
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -348,3 +348,29 @@
 		t.Error("not sent after the other copy's outcome")
 	}
 }
+
+// A suspected request is not sent while fewer servers serve than ended under it, for a time.
+func TestFewServersAreSpared(t *testing.T) {
+	tr := newTracker()
+	tr.loseRequest(0, 0, 7, "a")
+	tr.loseRequest(1, 200, 7, "a")
+	tests := map[string]struct {
+		serving []string
+		ms      int
+		want    bool
+	}{
+		"one left":                      {[]string{"s0", "s1", "s2"}, 300, true},
+		"one left, two are not listed":  {[]string{"s2"}, 300, true},
+		"the others are back":           {[]string{"s2", "s3", "s4"}, 300, false},
+		"many servers":                  {[]string{"s0", "s1", "s2", "s3"}, 300, false},
+		"one left, but for a long time": {[]string{"s2"}, 200 + int(spareTime.Milliseconds()), false},
+	}
+	for name, tt := range tests {
+		if got := tr.MustSpare(7, tt.serving, at(tt.ms)); got != tt.want {
+			t.Errorf("%s: spared %v, want %v", name, got, tt.want)
+		}
+	}
+	if tr.MustSpare(8, nil, at(300)) {
+		t.Error("a request that is not suspected is held back")
+	}
+}
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -210,6 +210,9 @@
 	if r.acquired || !q.TracksRequests() || !q.SuspectedRequest(r.identity()) {
 		return nil
 	}
+	if q.MustSpare(r.identity(), r.servingIncarnations(), time.Now()) {
+		return contract.Refusal(contract.KindUnavailable, r.retryAfter(retryAfterNoServer), "servers ended under this request, and few others serve")
+	}
 	if !q.Acquire(r.identity(), rand.Float64()) {
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(retryAfterNoServer), "servers ended under this request, and another copy of it is in flight")
 	}
@@ -217,6 +220,17 @@
 	return nil
 }
 
+// servingIncarnations returns the incarnations of the pool's servers that are said to serve.
+func (r *run) servingIncarnations() []string {
+	var list []string
+	for _, s := range r.server.Snapshot().Servers[r.pool] {
+		if s.Usable() {
+			list = append(list, incarnationOf(s))
+		}
+	}
+	return list
+}
+
 // release ends what acquire began.
 func (r *run) release() {
 	if r.acquired {
--- a/internal/serve/poison_test.go
+++ b/internal/serve/poison_test.go
@@ -87,6 +87,18 @@
 	return ok("done"), nil
 }
 
+// up returns the number of servers of a pool of the given size that are not down.
+func (p *plainServers) up(size int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.endedAt {
+		if p.isDown(id) {
+			size--
+		}
+	}
+	return size
+}
+
 // late returns the number of times that the poison request reached servers later than
 // contactTime after the third end.
 func (p *plainServers) late() int {
@@ -150,6 +162,42 @@
 	}
 }
 
+// A service of three servers: a request under which two of them ended is not sent to the last
+// one, which serves the sound requests until the others are back.
+func TestSuspectedRequestSparesTheLastServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 3
+		servers := &plainServers{endedAt: make(map[machine.ID]time.Time)}
+		f := newFixture(size, nil)
+		f.Backend = servers
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		lost, sound := 0, 0
+		for n := range 1000 {
+			if n%15 == 0 {
+				wg.Go(func() { _ = f.Serve(t.Context(), plainRequest(idempotent, n, poisonTarget), &fakeCaller{}) })
+			}
+			wg.Go(func() {
+				err := f.Serve(t.Context(), plainRequest(idempotent, 1<<20+n, fmt.Sprint("/orders/", 1000+n)), &fakeCaller{})
+				mu.Lock()
+				defer mu.Unlock()
+				sound++
+				if err != nil {
+					lost++
+				}
+			})
+			time.Sleep(20 * time.Millisecond)
+			if servers.up(size) == 0 {
+				t.Fatalf("all servers are down after %d ends", len(servers.ends))
+			}
+		}
+		wg.Wait()
+		if len(servers.ends) != 3 || lost > sound/100 {
+			t.Errorf("%d servers ended, %d of %d sound requests were lost, want 3 and at most one in a hundred", len(servers.ends), lost, sound)
+		}
+	})
+}
+
 // A sound request whose servers ended twice by chance is served when its caller comes back,
 // and a failure of a server that lives on does not clear a request that ends servers.
 func TestEndsByChanceAndFailures(t *testing.T) {
