--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -197,3 +197,28 @@
 		t.Error("the quarantined part was dropped")
 	}
 }
+
+// An answer at another instance may be known only later: a part is not held back before, and
+// the answer clears it.
+func TestPartIsJudgedWhenAnswersAreKnown(t *testing.T) {
+	for name, isAnswered := range map[string]bool{"answered": true, "not answered": false} {
+		t.Run(name, func(t *testing.T) {
+			tr := newTracker()
+			tr.SetInstances(6, time.Second)
+			for n := range 4 {
+				tr.lose(n, 200*n, 7)
+			}
+			tr.Expire(at(980))
+			if tr.holds(7, at(980)) {
+				t.Error("held before the time to settle")
+			}
+			if isAnswered {
+				tr.RecordAnswer([]uint64{7}, at(990))
+			}
+			tr.Expire(at(1010))
+			if held := tr.holds(7, at(1010)); held == isAnswered {
+				t.Errorf("held after the time to settle: %v", held)
+			}
+		})
+	}
+}
--- a/internal/serve/loss_test.go
+++ b/internal/serve/loss_test.go
@@ -11,6 +11,7 @@
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/quarantine"
 )
 
 // endingBackend breaks off each attempt and says whether its server has ended.
@@ -148,3 +149,90 @@
 		t.Error("the end is held against a part on which an answer was written at length")
 	}
 }
+
+// Servers that leave, or whose entries were replaced, while they answer end for a known reason:
+// neither the part nor the request is held back.
+func TestEndsOfServersThatLeaveDoNotCount(t *testing.T) {
+	change := map[string]func(*fleet.Server){
+		"leaving":   func(s *fleet.Server) { s.Lifecycle = machine.Leaving },
+		"restarted": func(s *fleet.Server) { s.StartedAtMs++ },
+		"replaced":  func(s *fleet.Server) { s.ID += "-next" },
+	}
+	for name, change := range change {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := &endingBackend{ended: true}
+			f := newEndingFixture(b)
+			servers := f.Snapshot().Servers["p"]
+			b.script = func(_ int, _ context.Context, a *Attempt) (*Answer, error) {
+				for n, s := range servers {
+					if s.ID == a.Server.ID {
+						listed := *s
+						change(&listed)
+						servers[n] = &listed // the entry changed; the attempt has the former one
+					}
+				}
+				return truncatedAfter(""), nil
+			}
+			f.Quarantine.RecordAnswer([]uint64{1}, time.Now())
+			for n := range 6 {
+				req := request(stream)
+				req.ID, req.Prompt = fmt.Sprint(n), promptOf(1, 7, 100+uint64(n))
+				_ = f.Serve(t.Context(), req, &fakeCaller{})
+				time.Sleep(110 * time.Millisecond)
+			}
+			if f.holds(7) || f.Quarantine.TracksRequests() {
+				t.Errorf("the part is held back: %v, the request is tracked: %v", f.holds(7), f.Quarantine.TracksRequests())
+			}
+		})
+	}
+}
+
+// A part under which servers ended at two moments is suspected: a request with it is not
+// repeated, and others are.
+func TestRequestWithASuspectedPartIsNotRepeated(t *testing.T) {
+	for part, want := range map[uint64]int{7: 1, 8: 2} {
+		f := newFixture(5, func(int, context.Context, *Attempt) (*Answer, error) {
+			return nil, verdictError(contract.MayHaveRun)
+		})
+		for n := range 2 {
+			f.Quarantine.RecordLoss(quarantine.Loss{Server: fmt.Sprint(n), Request: fmt.Sprint(n), Identity: uint64(n + 1), Parts: []uint64{7}, Begun: true}, time.Now().Add(time.Duration(n-2)*time.Second))
+		}
+		req := request(resumable)
+		req.Prompt = promptOf(1, part, 100)
+		_ = f.Serve(t.Context(), req, &fakeCaller{})
+		if got := len(f.backend.attempts); got != want {
+			t.Errorf("a request with part %d was sent %d times, want %d", part, got, want)
+		}
+	}
+}
+
+// A part or a request that is quarantined while a request waits for a connection is not sent.
+func TestRequestIsNotSentOnceItIsQuarantined(t *testing.T) {
+	held := map[string]func(*Request) quarantine.Loss{
+		"part":    func(*Request) quarantine.Loss { return quarantine.Loss{Parts: []uint64{7}, Begun: true} },
+		"request": func(r *Request) quarantine.Loss { return quarantine.Loss{Identity: r.Identity()} },
+	}
+	for name, loss := range held {
+		t.Run(name, func(t *testing.T) {
+			req := request(resumable)
+			req.Prompt = promptOf(1, 7, 100)
+			var f *fixture
+			f = newFixture(5, func(_ int, _ context.Context, a *Attempt) (*Answer, error) {
+				for n := range 5 {
+					l, endedAt := loss(req), time.Now().Add(time.Duration(n-10)*time.Second)
+					l.Server, l.Request, l.SentAt = fmt.Sprint(n), fmt.Sprint(n), endedAt.Add(-time.Second)
+					f.Quarantine.RecordLoss(l, endedAt)
+				}
+				if a.Wanted() {
+					t.Error("the request is still to be sent")
+				}
+				return nil, errors.Join(verdictError(contract.NotRun), ErrUnwanted)
+			})
+			err := f.Serve(t.Context(), req, &fakeCaller{})
+			if contract.VerdictOf(err) != contract.NotRun || len(f.backend.attempts) != 1 {
+				t.Errorf("%d attempts, error %v, want one, refused as not run", len(f.backend.attempts), err)
+			}
+		})
+	}
+}
