--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
 	"fmt"
@@ -105,14 +106,38 @@
 	return e
 }
 
-// readBody reads the whole body of an answer, of at most limit bytes. resp.Body would take
-// the text of an error for the body.
+// readBody reads the whole body of an answer, of at most limit bytes, without its encoding.
+// resp.Body would take the text of an error for the body.
 func readBody(resp *fasthttp.Response, limit int64) ([]byte, error) {
+	encoding := string(resp.Header.ContentEncoding())
 	stream := resp.BodyStream()
 	if stream == nil {
-		return bytes.Clone(resp.Body()), nil
+		return decodeBody(bytes.Clone(resp.Body()), encoding, limit)
+	}
+	body, err := frame.ReadAll(stream, limit)
+	if err != nil {
+		return body, err
+	}
+	return decodeBody(body, encoding, limit)
+}
+
+// errUnknownEncoding means that a body has an encoding that was not asked for.
+var errUnknownEncoding = errors.New("the body has an encoding that was not asked for")
+
+// decodeBody removes the encoding of a body, which has at most limit bytes without it.
+func decodeBody(body []byte, encoding string, limit int64) ([]byte, error) {
+	switch encoding {
+	case "", "identity":
+		return body, nil
+	case "gzip":
+		r, err := gzip.NewReader(bytes.NewReader(body))
+		if err != nil {
+			return nil, fmt.Errorf("decompress the body: %w", err)
+		}
+		return frame.ReadAll(r, limit)
+	default:
+		return nil, fmt.Errorf("%w: %q", errUnknownEncoding, encoding)
 	}
-	return frame.ReadAll(stream, limit)
 }
 
 // refusedByServer returns an error with the verdict NotRun if the answer says
