--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -20,7 +20,7 @@
 	// requestSends is the number of messages in which news of a request are told, since some
 	// are lost; refreshInterval is how often what is known of suspected ones is told again.
 	requestSends    = 12
-	refreshInterval = 5 * time.Second
+	refreshInterval = time.Second
 	// maxRequestLossAge is the age up to which losses of requests are accepted, for the same
 	// reason as maxLossAge.
 	maxRequestLossAge = requestRetention / 2
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/quarantine"
 )
 
 const (
@@ -87,7 +87,7 @@
 func formatParts(ids []uint64) string {
 	list := make([]string, len(ids))
 	for i, id := range ids {
-		list[i] = strconv.FormatUint(id, 16)
+		list[i] = quarantine.FormatID(id)
 	}
 	return strings.Join(list, ",")
 }
@@ -99,7 +99,7 @@
 	fields["event"] = "attempt_failed"
 	fields["verdict"] = contract.VerdictOf(err)
 	if contract.VerdictOf(err) == contract.MayHaveRun {
-		fields["identity"] = strconv.FormatUint(r.identity(), 16)
+		fields["identity"] = quarantine.FormatID(r.identity())
 	}
 	if r.req.Prompt != nil && contract.VerdictOf(err) != contract.NotRun {
 		fields["parts"] = formatParts(r.parts)
