--- a/test/soak/chaos.go
+++ b/test/soak/chaos.go
@@ -242,7 +242,7 @@
 	servers := c.fleet.serverList()
 	s := servers[c.randomInt(len(servers))]
 	var faults standin.ServerFaults
-	switch c.randomInt(5) {
+	switch c.randomInt(6) {
 	case 0:
 		faults.ResetRate = c.randomRate()
 	case 1:
@@ -251,6 +251,8 @@
 		faults.ErrorRate = c.randomRate()
 	case 3:
 		faults.RejectRate = c.randomRate()
+	case 4:
+		faults.LimitPerSecond = float64(1 + c.randomInt(20))
 	default:
 		faults.Delay = c.randomDuration(300 * time.Millisecond)
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -22,24 +22,31 @@
 
 func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
 
+// startFleet writes the configuration, and starts the instances. It returns the source of
+// faults, which is not running yet.
+func startFleet(t testing.TB, f *fleet, r *recorder, seed uint64, logf func(format string, args ...any)) *chaos {
+	t.Helper()
+	c := &chaos{fleet: f, recorder: r, random: newRandom(seed), version: 1, logf: logf}
+	c.writeConfig()
+	for _, i := range f.instances {
+		c.start(i)
+	}
+	awaitReady(t, f)
+	return c
+}
+
 // Run runs a soak and reports each violated guarantee as a test error.
 func Run(t testing.TB, o Options) {
 	t.Helper()
-	f := newFleet(t, o)
-	r := &recorder{}
+	f, r := newFleet(t, o), &recorder{}
 	var lines []string
 	var mu sync.Mutex
 	startedAt := time.Now()
-	c := &chaos{fleet: f, recorder: r, random: newRandom(o.Seed), version: 1, logf: func(format string, args ...any) {
+	c := startFleet(t, f, r, o.Seed, func(format string, args ...any) {
 		mu.Lock()
 		defer mu.Unlock()
 		lines = append(lines, faultLine(time.Since(startedAt), format, args...))
-	}}
-	c.writeConfig()
-	for _, i := range f.instances {
-		c.start(i)
-	}
-	awaitReady(t, f)
+	})
 
 	var ids atomic.Int64
 	done, faultsDone := make(chan struct{}), make(chan struct{})
