--- a/test/soak/servers_test.go
+++ b/test/soak/servers_test.go
@@ -78,6 +78,7 @@
 			t.Fatalf("the server got %d requests in %v, want at most %.0f", got, window, allowed)
 		}
 	}
+	t.Logf("%d arrivals under the limit, %d in %v after it", len(times), after, window)
 	if used := float64(len(times)) / (limit * 2 * window.Seconds()); used < 0.5 {
 		t.Errorf("%.2f of the limit were used, want half at least", used)
 	}
