--- a/internal/serve/poison_test.go
+++ b/internal/serve/poison_test.go
@@ -272,3 +272,11 @@
 		}
 	}
 }
+
+func BenchmarkIdentity(b *testing.B) {
+	r := plainRequest(once, 1, "/orders/7")
+	r.Body = make([]byte, 1500)
+	for b.Loop() {
+		r.Identity()
+	}
+}
