--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -106,8 +106,8 @@
 // evaluateRequests judges the requests. The ends under a stronger one do not count against
 // the others that were there. Those with equal evidence are judged alike: which of them ends
 // the servers is not known. An answer may be known settleTime later; until then a request is
-// held back only for that time. A quarantine ends quarantineTime after the last end, but what is known is
-// kept, so that one more end renews it.
+// held back only for that time. A quarantine ends quarantineTime after the last end, but what
+// is known is kept, so that one more end renews it.
 func evaluateRequests(requests map[uint64]*evidence, settleTime time.Duration, now time.Time) requestJudgment {
 	j := requestJudgment{
 		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool), explained: make(map[uint32]bool)},
