--- a/internal/serve/poison_test.go
+++ b/internal/serve/poison_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
 )
@@ -20,95 +19,14 @@
 	// maxPoisonArrivals is the number of times that it may reach servers later than
 	// contactTime after the third end.
 	maxPoisonArrivals = 3
-	// runTime is how long a server of a plain service works on a request.
-	runTime = 60 * time.Millisecond
 )
 
-// plainServers are servers of a plain service, each of which ends when it has worked for
-// half of runTime on the poison request, with all that it runs, and is back some seconds
-// later.
-type plainServers struct {
-	mu sync.Mutex
-	// endedAt holds the last end of each server, ends all ends, and arrivals those of the
-	// poison request.
-	endedAt  map[machine.ID]time.Time
-	ends     []time.Time
-	arrivals []time.Time
-}
-
-// HasEnded implements Checker.
-func (p *plainServers) HasEnded(_ context.Context, s *fleet.Server) (bool, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.isDown(s.ID), nil
-}
-
-func (p *plainServers) isDown(id machine.ID) bool {
-	at, ok := p.endedAt[id]
-	return ok && time.Since(at) < restartTime
-}
-
-// Send implements Backend.
-func (p *plainServers) Send(ctx context.Context, a *Attempt) (*Answer, error) {
-	isPoison := a.Request.Target == poisonTarget
-	p.mu.Lock()
-	if !a.Wanted() {
-		p.mu.Unlock()
-		return nil, ErrUnwanted
-	}
-	if p.isDown(a.Server.ID) {
-		p.mu.Unlock()
-		return nil, verdictError(contract.NotRun)
-	}
-	if isPoison {
-		p.arrivals = append(p.arrivals, time.Now())
-	}
-	p.mu.Unlock()
-	sent := time.Now()
-	select {
-	case <-time.After(runTime / 2):
-	case <-ctx.Done():
-		return nil, verdictError(contract.MayHaveRun)
-	}
-	if isPoison {
-		p.mu.Lock()
-		if !p.isDown(a.Server.ID) {
-			p.endedAt[a.Server.ID] = time.Now()
-			p.ends = append(p.ends, time.Now())
-		}
-		p.mu.Unlock()
-	}
-	time.Sleep(runTime / 2)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at, ok := p.endedAt[a.Server.ID]; ok && !at.Before(sent) {
-		return nil, verdictError(contract.MayHaveRun)
-	}
-	return ok("done"), nil
-}
-
-// up returns the number of servers of a pool of the given size that are not down.
-func (p *plainServers) up(size int) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.endedAt {
-		if p.isDown(id) {
-			size--
-		}
-	}
-	return size
-}
-
-// late returns the number of times that the poison request reached servers later than
-// contactTime after the third end.
-func (p *plainServers) late() int {
-	n := 0
-	for _, at := range p.arrivals {
-		if len(p.ends) >= 3 && at.Sub(p.ends[2]) > contactTime {
-			n++
-		}
+// newPlainServers returns servers of a plain service that end under the poison request.
+func newPlainServers() *endingServers {
+	return &endingServers{
+		isDeadly: func(r *Request) bool { return r.Target == poisonTarget }, answer: func() *Answer { return ok("done") },
+		endedAt: make(map[machine.ID]time.Time), endsOf: make(map[machine.ID]int64),
 	}
-	return n
 }
 
 // plainRequest returns a request to a plain service.
@@ -125,9 +43,9 @@
 	for _, route := range []fleet.Route{once, idempotent} {
 		t.Run(route.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				servers := &plainServers{endedAt: make(map[machine.ID]time.Time)}
+				servers := newPlainServers()
 				f := newFixture(4, nil)
-				f.Backend = servers
+				servers.attach(f)
 				var wg sync.WaitGroup
 				var mu sync.Mutex
 				sound, served := 0, 0
@@ -151,7 +69,7 @@
 					time.Sleep(20 * time.Millisecond)
 				}
 				wg.Wait()
-				if late := servers.late(); late > maxPoisonArrivals {
+				if late := servers.late(3); late > maxPoisonArrivals {
 					t.Errorf("the request reached servers %d times later than %v after the third of %d ends, want at most %d", late, contactTime, len(servers.ends), maxPoisonArrivals)
 				}
 				if served < sound*99/100 {
@@ -167,9 +85,9 @@
 func TestSuspectedRequestSparesTheLastServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const size = 3
-		servers := &plainServers{endedAt: make(map[machine.ID]time.Time)}
+		servers := newPlainServers()
 		f := newFixture(size, nil)
-		f.Backend = servers
+		servers.attach(f)
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		lost, sound := 0, 0
