ratelimit: names are hashed when the list of instances changes, not four times a second

Each check for expired limits hashed and sorted the names of all instances, also without any limit. Only those that are missing from the list are remembered with a time now. A server with a limit is looked up in one place, and the rank, which follows from the instances, is no longer kept. Behaviour as before.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -82,12 +82,13 @@
 	mu      sync.Mutex
 	servers map[Incarnation]*limited
 	// instances are hashes of the names of all instances, this one first, and generation
-	// counts their changes. There are none until they are known. listedAt holds when each
-	// was in the list last, and listed those that are.
+	// counts their changes. There are none until they are known.
 	instances  []uint64
 	generation int
-	listed     []string
-	listedAt   map[string]time.Time
+	// listed are the names of the listed instances, and missingSince holds when the others
+	// that count were found missing from the list.
+	listed       []string
+	missingSince map[string]time.Time
 	// returns holds, for each pool, when the caller may return that was refused last.
 	returns map[string]time.Time
 	// limits is the number of servers with a limit: without any, requests take no lock.
@@ -98,9 +99,8 @@
 type limited struct {
 	Observation
 	bucket bucket
-	// rank is this instance's place among the instances for the server, by the instances of
-	// the given generation.
-	rank, generation int
+	// generation is that of the instances by which the bucket has its share.
+	generation int
 	// sends is the number of messages with this since it changed, and sentAt the time of the
 	// last one.
 	sends  int
@@ -110,34 +110,43 @@
 // New returns a Tracker of the instance with the given name. It leaves servers with a limit
 // alone until SetInstances is called.
 func New(self string, log *logrus.Entry) *Tracker {
-	return &Tracker{log: log, self: self, servers: make(map[Incarnation]*limited), returns: make(map[string]time.Time), listedAt: make(map[string]time.Time)}
+	return &Tracker{log: log, self: self, servers: make(map[Incarnation]*limited), returns: make(map[string]time.Time), missingSince: make(map[string]time.Time)}
 }
 
 // SetInstances sets the names of the listed instances, with or without this one.
 func (t *Tracker) SetInstances(names []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, name := range t.listed {
+		t.missingSince[name] = now
+	}
+	for _, name := range names {
+		delete(t.missingSince, name)
+	}
 	t.listed = names
-	t.refreshInstances(now)
+	t.countInstances()
 }
 
-// refreshInstances updates the instances that count. It is called with mu held.
-func (t *Tracker) refreshInstances(now time.Time) {
-	for _, name := range t.listed {
-		t.listedAt[name] = now
+// expireInstances drops the instances that have been missing for long. It is called with mu
+// held.
+func (t *Tracker) expireInstances(now time.Time) {
+	before := len(t.missingSince)
+	maps.DeleteFunc(t.missingSince, func(_ string, since time.Time) bool { return now.Sub(since) >= instanceRetention })
+	if len(t.missingSince) < before {
+		t.countInstances()
 	}
-	maps.DeleteFunc(t.listedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= instanceRetention })
-	instances := []uint64{xxhash.Sum64String(t.self)}
-	for name := range t.listedAt {
+}
+
+// countInstances sets the instances that count: this one, and those that are listed or have
+// been missing for a short time. It is called with mu held.
+func (t *Tracker) countInstances() {
+	t.instances = []uint64{xxhash.Sum64String(t.self)}
+	for _, name := range slices.AppendSeq(slices.Clone(t.listed), maps.Keys(t.missingSince)) {
 		if name != t.self {
-			instances = append(instances, xxhash.Sum64String(name))
+			t.instances = append(t.instances, xxhash.Sum64String(name))
 		}
 	}
-	slices.Sort(instances[1:])
-	if !slices.Equal(instances, t.instances) {
-		t.instances = instances
-		t.generation++
-	}
+	t.generation++
 }
 
 // Observe records what an answer of a server said.
@@ -191,8 +200,8 @@
 func (t *Tracker) update(server Incarnation, s *limited, now time.Time) {
 	s.bucket.refill(now)
 	if s.generation != t.generation {
-		s.rank, s.generation = rankOf(t.instances, server), t.generation
-		s.bucket.setShare(shareOf(s.Limit.PerSecond, s.rank, len(t.instances)))
+		s.generation = t.generation
+		s.bucket.setShare(shareOf(s.Limit.PerSecond, rankOf(t.instances, server), len(t.instances)))
 	}
 }
 
@@ -222,14 +231,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[server]
-	if s == nil || s.Limit.Kind != Limited {
+	s := t.limited(server)
+	if s == nil {
 		return true
 	}
 	t.update(server, s, now)
 	return f(s)
 }
 
+// limited returns what is known of a server with a limit, nil if it has none. It is called
+// with mu held.
+func (t *Tracker) limited(server Incarnation) *limited {
+	if s := t.servers[server]; s != nil && s.Limit.Kind == Limited {
+		return s
+	}
+	return nil
+}
+
 // IsLimited reports whether a server has a limit.
 func (t *Tracker) IsLimited(server Incarnation) bool {
 	if t.limits.Load() == 0 {
@@ -237,8 +255,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[server]
-	return s != nil && s.Limit.Kind == Limited
+	return t.limited(server) != nil
 }
 
 // ReturnIn returns when a caller may return that none of a pool's servers takes, because all
@@ -249,8 +266,8 @@
 	defer t.mu.Unlock()
 	perSecond, wait := 0.0, time.Duration(maxReturnTime)
 	for _, server := range servers {
-		s := t.servers[server]
-		if s == nil || s.Limit.Kind != Limited {
+		s := t.limited(server)
+		if s == nil {
 			continue
 		}
 		t.update(server, s, now)
@@ -277,9 +294,7 @@
 func (t *Tracker) Retain(known func(machine.ID) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.generation > 0 {
-		t.refreshInstances(now)
-	}
+	t.expireInstances(now)
 	for server, s := range t.servers {
 		age := now.Sub(s.AnsweredAt)
 		if s.Limit.Kind == Limited && (known(server.ID) || age < unknownRetention) || s.Limit.Kind == Unlimited && age < endedRetention {
