quarantine: names are hashed by rollup.Key; the files follow parts, requests and what they share

The hash of names in messages stood twice. Adding a loss needed no receiver but the evidence; the servers that a quarantine explains were returned for parts too, where nobody read them; the merge took a subject and asked the message again which kind it is. Behaviour as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,7 +130,7 @@
 	budget    *retry.PoolBudget
 	demand    *demand.Meter
 	leaving   leavingNotices
-	// quarantine judges the parts of prompts by the servers that ended under them.
+	// quarantine judges requests and parts of prompts by the servers that ended under them.
 	quarantine *quarantine.Tracker
 	// limits holds the limits of request rates that servers name.
 	limits   *ratelimit.Tracker
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -7,6 +7,21 @@
 	"github.com/sirupsen/logrus"
 )
 
+// judgment is what follows from the evidence on parts or on requests.
+type judgment struct {
+	quarantined, suspected map[uint64]bool
+	// dueAt is when the evidence has to be judged again although nothing was added; zero if
+	// it need not be.
+	dueAt time.Time
+}
+
+// setDue sets when the evidence has to be judged again, at the latest.
+func (j *judgment) setDue(at time.Time) {
+	if j.dueAt.IsZero() || at.Before(j.dueAt) {
+		j.dueAt = at
+	}
+}
+
 // update judges by the evidence, if that has changed, and publishes the judgment. It is
 // called with mu held.
 func (t *Tracker) update(now time.Time) {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -129,22 +129,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range list {
-		if m.GetIsRequest() {
-			t.merge(t.requests, m, maxRequestLossAge, now)
-			continue
-		}
-		oldest := maxLossAge
-		if m.GetQuarantined() {
+		subjects, add, oldest := t.parts, t.addPartLoss, maxLossAge
+		switch {
+		case m.GetIsRequest():
+			subjects, add, oldest = t.requests, t.addRequestLoss, maxRequestLossAge
+		case m.GetQuarantined():
 			oldest = quarantineTime
 		}
-		t.merge(t.parts, m, oldest, now)
+		mergeLosses(m, add, oldest, now)
+		if age := milliseconds(m.GetAnsweredAgeMs()); age > 0 {
+			t.addAnswer(subjects, m.GetPart(), now.Add(-age), now)
+		}
 	}
 	t.update(now)
 }
 
-// merge adds the evidence of another instance on a part or a request, without losses older
-// than oldest.
-func (t *Tracker) merge(s *subjects, m *pb.PartEvidence, oldest time.Duration, now time.Time) {
+// mergeLosses adds the losses of a message that are not older than oldest.
+func mergeLosses(m *pb.PartEvidence, add func(id uint64, key lossKey, l loss, now time.Time), oldest time.Duration, now time.Time) {
 	n := min(len(m.GetServers()), len(m.GetRequests()), len(m.GetAgesMs()), len(m.GetSentAgesMs()), len(m.GetBegun()))
 	for i := range n {
 		age := milliseconds(m.GetAgesMs()[i])
@@ -153,14 +154,7 @@
 		}
 		key := lossKey{m.GetServers()[i], m.GetRequests()[i]}
 		l := loss{at: now.Add(-age), sentAt: now.Add(-milliseconds(m.GetSentAgesMs()[i])), begun: m.GetBegun()[i]}
-		if m.GetIsRequest() {
-			t.addRequestLoss(m.GetPart(), key, l, now)
-		} else {
-			t.addPartLoss(m.GetPart(), key, l, now)
-		}
-	}
-	if age := milliseconds(m.GetAnsweredAgeMs()); age > 0 {
-		t.addAnswer(s, m.GetPart(), now.Add(-age), now)
+		add(m.GetPart(), key, l, now)
 	}
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -17,8 +17,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/rollup"
 )
 
 const (
@@ -142,7 +143,7 @@
 
 // RecordLoss records the end of a server.
 func (t *Tracker) RecordLoss(l Loss, now time.Time) {
-	server, attempt := hash(l.Server), hash(l.Request)
+	server, attempt := rollup.Key(l.Server), rollup.Key(l.Request)
 	request := attempt
 	if l.Identity != 0 {
 		request = uint32(l.Identity)
@@ -160,17 +161,14 @@
 	t.update(now)
 }
 
-// hash returns the hash by which messages identify an incarnation or a request.
-func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
-
 func (t *Tracker) addPartLoss(id uint64, key lossKey, l loss, now time.Time) {
 	e := t.parts.track(id, t.answers.last(id))
-	t.changed = t.parts.addLoss(e, key, l, now) || t.changed
+	t.changed = e.addLoss(key, l, now) || t.changed
 }
 
 func (t *Tracker) addRequestLoss(id uint64, key lossKey, l loss, now time.Time) {
 	e := t.requests.track(id, time.Time{})
-	if !t.requests.addLoss(e, key, l, now) {
+	if !e.addLoss(key, l, now) {
 		return
 	}
 	t.changed = true
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"kumquatyard/internal/rollup"
 )
 
 const (
@@ -110,8 +112,8 @@
 // is known is kept, so that one more end renews it.
 func evaluateRequests(requests map[uint64]*evidence, settleTime time.Duration, now time.Time) requestJudgment {
 	j := requestJudgment{
-		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool), explained: make(map[uint32]bool)},
-		waiting:  make(map[uint64]time.Time), onTrial: make(map[uint64]bool), ends: make(map[uint64]requestEnds),
+		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool),
+		waiting: make(map[uint64]time.Time), onTrial: make(map[uint64]bool), ends: make(map[uint64]requestEnds),
 	}
 	list := suspects(requests)
 	for first := 0; first < len(list); {
@@ -141,6 +143,8 @@
 // requestJudgment is what follows from the evidence on requests.
 type requestJudgment struct {
 	judgment
+	// explained holds the servers that ended because of a quarantined request.
+	explained map[uint32]bool
 	// waiting holds the requests that are quarantined unless an answer becomes known, and
 	// until when.
 	waiting map[uint64]time.Time
@@ -194,13 +198,6 @@
 	return false
 }
 
-// setDue sets when the evidence has to be judged again, at the latest.
-func (j *judgment) setDue(at time.Time) {
-	if j.dueAt.IsZero() || at.Before(j.dueAt) {
-		j.dueAt = at
-	}
-}
-
 // TracksRequests reports whether anything is known against requests, so that their
 // identities are needed.
 func (t *Tracker) TracksRequests() bool { return t.view.Load().isTrackingRequests }
@@ -232,7 +229,7 @@
 	}
 	up := 0
 	for _, incarnation := range serving {
-		if !ends.servers[hash(incarnation)] {
+		if !ends.servers[rollup.Key(incarnation)] {
 			up++
 		}
 	}
--- a/internal/quarantine/subjects.go
+++ b/internal/quarantine/subjects.go
@@ -55,25 +55,6 @@
 	return e.lastLossAt.Before(o.lastLossAt)
 }
 
-// addLoss adds a loss of a subject, unless it is known, and reports whether it was added.
-func (s *subjects) addLoss(e *evidence, key lossKey, l loss, now time.Time) bool {
-	known, ok := e.losses[key]
-	if ok && (known.begun || !l.begun) {
-		return false
-	}
-	if l.at.After(e.lastLossAt) {
-		e.lastLossAt = l.at
-	}
-	if ok {
-		l.at = known.at
-	} else if !e.makeRoom(l.at) {
-		return false
-	}
-	e.losses[key] = l
-	e.change(now)
-	return true
-}
-
 // expire drops old losses, and reports whether there were any. The evidence on quarantined
 // subjects is kept until the quarantine ends.
 func (s *subjects) expire(now time.Time) bool {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -49,8 +49,8 @@
 	Predictor *forecast.Predictor
 	Budget    *retry.PoolBudget
 	Demand    *demand.Meter
-	// Quarantine judges the parts of prompts by the servers that ended under them; New
-	// creates one if it is nil.
+	// Quarantine judges requests and parts of prompts by the servers that ended under them;
+	// New creates one if it is nil.
 	Quarantine *quarantine.Tracker
 	// Limits holds the limits of request rates that servers name; New creates one for a
 	// single instance if it is nil.
