gossip: limits and evidence against requests are told by one rule, and ages encoded once

Both counted the messages with an item, told news in twelve of them and the rest at intervals, and turned times into ages and back, each in its own words. Same numbers, same order, same bytes. In serve, whether a request is suspected is asked in one place.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"kumquatyard/internal/gossip"
+)
 
 // maxLosses bounds the losses that are kept of a subject, the earliest since its last answer.
 const maxLosses = 32
@@ -30,15 +34,14 @@
 	quarantined bool
 	// isOwn is set if this instance saw a loss itself.
 	isOwn bool
-	// sends is the number of messages with this since it changed, and sentAt the time of the
-	// last one. They are used for requests only.
-	sends  int
-	sentAt time.Time
+	// Telling counts the messages with this; it is used for requests only.
+	gossip.Telling
 }
 
-// change records that this instance learned something new.
-func (e *evidence) change(now time.Time) {
-	e.changedAt, e.sends = now, 0
+// recordChange records that this instance learned something new.
+func (e *evidence) recordChange(now time.Time) {
+	e.changedAt = now
+	e.Change()
 }
 
 // addLoss adds a loss of a subject, unless it is known, and reports whether it was added.
@@ -56,7 +59,7 @@
 		return false
 	}
 	e.losses[key] = l
-	e.change(now)
+	e.recordChange(now)
 	return true
 }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -76,7 +76,7 @@
 		}
 		if j.quarantined[id] != e.quarantined {
 			e.quarantined = j.quarantined[id]
-			e.change(now)
+			e.recordChange(now)
 		}
 	}
 	for id := range v.quarantined {
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"kumquatyard/internal/gossip"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
@@ -17,9 +18,7 @@
 	// maxMessageParts and maxMessageRequests bound the parts and the requests in a message.
 	maxMessageParts    = 24
 	maxMessageRequests = 48
-	// requestSends is the number of messages in which news of a request are told, since some
-	// are lost; refreshInterval is how often what is known of suspected ones is told again.
-	requestSends    = 12
+	// refreshInterval is how often what is known of suspected requests is told again.
 	refreshInterval = time.Second
 	// maxRequestLossAge is the age up to which losses of requests are accepted, for the same
 	// reason as maxLossAge.
@@ -62,26 +61,28 @@
 	return list
 }
 
-// requestEvidence returns the message form of what is known of requests: news in
-// requestSends messages each, and what is suspected now and then.
+// requestEvidence returns the message form of what is known of requests: news, and what is
+// suspected now and then.
 func (t *Tracker) requestEvidence(relay bool, now time.Time) []*pb.PartEvidence {
 	requests := t.requests.evidence
 	var ids []uint64
 	for id, e := range requests {
-		isSingle := len(e.losses) < suspectServers
-		isNews := e.sends < requestSends && (relay || e.isOwn || !isSingle)
-		if isNews || !isSingle && now.Sub(e.sentAt) >= refreshInterval {
+		isDue := e.IsDue(refreshInterval, now)
+		if len(e.losses) < suspectServers {
+			isDue = e.IsNews() && (relay || e.isOwn)
+		}
+		if isDue {
 			ids = append(ids, id)
 		}
 	}
 	slices.SortFunc(ids, func(a, b uint64) int {
-		return cmp.Or(cmp.Compare(requests[a].sends, requests[b].sends), cmp.Compare(len(requests[b].losses), len(requests[a].losses)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(requests[a].Sends, requests[b].Sends), cmp.Compare(len(requests[b].losses), len(requests[a].losses)), cmp.Compare(a, b))
 	})
 	ids = ids[:min(len(ids), maxMessageRequests)]
 	list := make([]*pb.PartEvidence, len(ids))
 	for n, id := range ids {
 		e := requests[id]
-		e.sends, e.sentAt = e.sends+1, now
+		e.Told(now)
 		list[n] = encode(id, e, now)
 		list[n].IsRequest = true
 	}
@@ -110,13 +111,13 @@
 	for key, l := range e.losses {
 		m.Servers = append(m.Servers, key.server)
 		m.Requests = append(m.Requests, key.request)
-		m.AgesMs = append(m.AgesMs, uint32(max(now.Sub(l.at).Milliseconds(), 0)))
-		m.SentAgesMs = append(m.SentAgesMs, uint32(max(now.Sub(l.sentAt).Milliseconds(), 0)))
+		m.AgesMs = append(m.AgesMs, gossip.AgeMs(l.at, now))
+		m.SentAgesMs = append(m.SentAgesMs, gossip.AgeMs(l.sentAt, now))
 		m.Begun = append(m.Begun, l.begun)
 	}
 	if !e.answeredAt.IsZero() {
 		// 0 means that no answer is known.
-		m.AnsweredAgeMs = uint32(max(now.Sub(e.answeredAt).Milliseconds(), 1))
+		m.AnsweredAgeMs = max(gossip.AgeMs(e.answeredAt, now), 1)
 	}
 	return m
 }
@@ -137,7 +138,7 @@
 			oldest = quarantineTime
 		}
 		mergeLosses(m, add, oldest, now)
-		if age := milliseconds(m.GetAnsweredAgeMs()); age > 0 {
+		if age := gossip.Age(m.GetAnsweredAgeMs()); age > 0 {
 			t.addAnswer(subjects, m.GetPart(), now.Add(-age), now)
 		}
 	}
@@ -148,14 +149,12 @@
 func mergeLosses(m *pb.PartEvidence, add func(id uint64, key lossKey, l loss, now time.Time), oldest time.Duration, now time.Time) {
 	n := min(len(m.GetServers()), len(m.GetRequests()), len(m.GetAgesMs()), len(m.GetSentAgesMs()), len(m.GetBegun()))
 	for i := range n {
-		age := milliseconds(m.GetAgesMs()[i])
+		age := gossip.Age(m.GetAgesMs()[i])
 		if age >= oldest {
 			continue
 		}
 		key := lossKey{m.GetServers()[i], m.GetRequests()[i]}
-		l := loss{at: now.Add(-age), sentAt: now.Add(-milliseconds(m.GetSentAgesMs()[i])), begun: m.GetBegun()[i]}
+		l := loss{at: now.Add(-age), sentAt: now.Add(-gossip.Age(m.GetSentAgesMs()[i])), begun: m.GetBegun()[i]}
 		add(m.GetPart(), key, l, now)
 	}
 }
-
-func milliseconds(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -203,7 +203,7 @@
 		return
 	}
 	e.answeredAt = at
-	e.change(now)
+	e.recordChange(now)
 	t.changed = t.changed || clears
 }
 
--- a/internal/ratelimit/message.go
+++ b/internal/ratelimit/message.go
@@ -5,13 +5,12 @@
 	"slices"
 	"time"
 
+	"kumquatyard/internal/gossip"
 	"kumquatyard/internal/machine"
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
 const (
-	// newsSends is the number of messages in which a change is told, since some are lost.
-	newsSends = 12
 	// refreshInterval is how often the rest is told, for instances that have just started.
 	refreshInterval = 5 * time.Second
 	// maxMessageServers bounds the servers in a message.
@@ -25,19 +24,19 @@
 	defer t.mu.Unlock()
 	var due []Incarnation
 	for server, s := range t.servers {
-		if s.sends < newsSends || now.Sub(s.sentAt) >= refreshInterval {
+		if s.IsDue(refreshInterval, now) {
 			due = append(due, server)
 		}
 	}
 	slices.SortFunc(due, func(a, b Incarnation) int {
 		first, second := t.servers[a], t.servers[b]
-		return cmp.Or(cmp.Compare(first.sends, second.sends), first.sentAt.Compare(second.sentAt), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(first.Sends, second.Sends), first.LastAt.Compare(second.LastAt), cmp.Compare(a.ID, b.ID))
 	})
 	due = due[:min(len(due), maxMessageServers)]
 	list := make([]*pb.ServerLimit, 0, len(due))
 	for _, server := range due {
 		s := t.servers[server]
-		s.sends, s.sentAt = s.sends+1, now
+		s.Told(now)
 		list = append(list, encode(server, s.Observation, now))
 	}
 	return list
@@ -47,12 +46,10 @@
 	return &pb.ServerLimit{
 		Server:  &pb.ServerIncarnation{Server: string(server.ID), StartedAtMs: server.StartedAtMs, Address: server.Address},
 		Limited: o.Limit.Kind == Limited, PerSecond: o.Limit.PerSecond,
-		AskedAgeMs: ageMs(o.AskedAt, now), AnsweredAgeMs: ageMs(o.AnsweredAt, now),
+		AskedAgeMs: gossip.AgeMs(o.AskedAt, now), AnsweredAgeMs: gossip.AgeMs(o.AnsweredAt, now),
 	}
 }
 
-func ageMs(at, now time.Time) uint32 { return uint32(max(now.Sub(at).Milliseconds(), 0)) }
-
 // Merge adds what another instance knows.
 func (t *Tracker) Merge(list []*pb.ServerLimit, now time.Time) {
 	if len(list) == 0 {
@@ -70,13 +67,9 @@
 }
 
 func decode(m *pb.ServerLimit, now time.Time) Observation {
-	o := Observation{AskedAt: before(now, m.GetAskedAgeMs()), AnsweredAt: before(now, m.GetAnsweredAgeMs())}
+	o := Observation{AskedAt: now.Add(-gossip.Age(m.GetAskedAgeMs())), AnsweredAt: now.Add(-gossip.Age(m.GetAnsweredAgeMs()))}
 	if m.GetLimited() {
 		o.Limit = Limit{Limited, m.GetPerSecond()}
 	}
 	return o
 }
-
-func before(now time.Time, ageMs uint32) time.Time {
-	return now.Add(-time.Duration(ageMs) * time.Millisecond)
-}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/gossip"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/rendezvous"
 )
@@ -101,10 +102,7 @@
 	bucket bucket
 	// generation is that of the instances by which the bucket has its share.
 	generation int
-	// sends is the number of messages with this since it changed, and sentAt the time of the
-	// last one.
-	sends  int
-	sentAt time.Time
+	gossip.Telling
 }
 
 // New returns a Tracker of the instance with the given name. It leaves servers with a limit
@@ -184,7 +182,8 @@
 	default:
 		t.limits.Add(-1)
 	}
-	s.Observation, s.sends, s.generation = o, 0, 0
+	s.Observation, s.generation = o, 0
+	s.Change()
 	t.update(server, s, now)
 }
 
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"kumquatyard/internal/gossip"
 	"kumquatyard/internal/machine"
 )
 
@@ -179,7 +180,7 @@
 	for n := range servers {
 		tr.Observe(Incarnation{ID: machine.ID(fmt.Sprint(n))}, Observation{limit(1), at(0), at(0)})
 	}
-	for range newsSends * servers / maxMessageServers {
+	for range gossip.NewsSends * servers / maxMessageServers {
 		tr.Messages(at(10))
 	}
 	tr.Observe(Incarnation{ID: "7"}, Observation{limit(2), at(20), at(20)})
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -199,15 +199,21 @@
 // isSuspected reports whether servers ended under the request or a part of its prompt, so
 // that it is not repeated.
 func (r *run) isSuspected() bool {
+	return r.server.Quarantine.Suspected(r.parts) || r.isSuspectedRequest()
+}
+
+// isSuspectedRequest reports whether servers ended under the request. Its identity is not
+// computed while nothing is known against any request.
+func (r *run) isSuspectedRequest() bool {
 	q := r.server.Quarantine
-	return q.Suspected(r.parts) || q.TracksRequests() && q.SuspectedRequest(r.identity())
+	return q.TracksRequests() && q.SuspectedRequest(r.identity())
 }
 
 // acquire returns the refusal of a suspected request of which this instance has a copy in
 // flight; nil if it may be sent.
 func (r *run) acquire() error {
 	q := r.server.Quarantine
-	if r.acquired || !q.TracksRequests() || !q.SuspectedRequest(r.identity()) {
+	if r.acquired || !r.isSuspectedRequest() {
 		return nil
 	}
 	if q.MustSpare(r.identity(), r.servingIncarnations(), time.Now()) {
