--- a/internal/gateway/whole_test.go
+++ b/internal/gateway/whole_test.go
@@ -7,13 +7,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/route"
+	"kumquatyard/test/endless"
 )
 
 // Guards against a plain server that sends bytes without end: the gateway holds few of
@@ -27,46 +27,16 @@
 	const most = (32 + 38) << 20
 	for name, start := range tests {
 		t.Run(name, func(t *testing.T) {
-			var written atomic.Int64
-			ended := make(chan struct{})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				defer close(ended)
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, start)
-				for err == nil && written.Load() < 10*most {
-					var n int
-					n, err = io.WriteString(conn, long)
-					written.Add(int64(n))
-				}
-			}()
+			server := endless.Start(t, start, long, most)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			defer cancel()
 			g := &Gateway{upstream: newUpstream()}
 			req := &plainRequest{id: "r", method: http.MethodPost, uri: "/", info: callInfo{contract: contract.Contract{}}}
-			_, err = g.exchange(ctx, req, &route.Server{Server: machine.Server{ID: "s", Address: l.Addr().String()}}, 1)
+			_, err := g.exchange(ctx, req, &route.Server{Server: machine.Server{ID: "s", Address: server.Address}}, 1)
 			if err == nil || contract.VerdictOf(err) != contract.MayHaveRun {
 				t.Errorf("error %v, want one with the verdict may_have_run", err)
 			}
-			select {
-			case <-ended:
-			case <-time.After(5 * time.Second):
-				t.Fatal("the connection is still open")
-			}
-			if n := written.Load(); n > most {
-				t.Errorf("the server sent %d bytes before the connection was closed", n)
-			}
+			server.Check(t, 5*time.Second)
 		})
 	}
 }
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -1,16 +1,13 @@
 package httpcall
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/test/endless"
 )
 
 // maxEndlessBytes is what a service may send before the client closes the connection: the
@@ -30,42 +27,12 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			var written atomic.Int64
-			ended := make(chan struct{})
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			go func() {
-				defer close(ended)
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err = http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err = io.WriteString(conn, tt.start)
-				for err == nil {
-					var n int
-					n, err = io.WriteString(conn, tt.text)
-					written.Add(int64(n))
-				}
-			}()
-			_, err = New(l.Addr().String(), time.Second).Do(t.Context(), Call{Method: http.MethodGet, Path: "/"})
+			server := endless.Start(t, tt.start, tt.text, maxEndlessBytes)
+			_, err := New(server.Address, time.Second).Do(t.Context(), Call{Method: http.MethodGet, Path: "/"})
 			if err == nil || contract.VerdictOf(err) != contract.MayHaveRun {
 				t.Errorf("error %v, want one with the verdict may_have_run", err)
 			}
-			select {
-			case <-ended:
-			case <-time.After(3 * time.Second):
-				t.Fatal("the connection is still open")
-			}
-			if n := written.Load(); n > maxEndlessBytes {
-				t.Errorf("the service sent %d bytes before the connection was closed", n)
-			}
+			server.Check(t, 3*time.Second)
 		})
 	}
 }
--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -343,6 +343,18 @@
 	lostInTurns = "servers are lost in turn"
 )
 
+// disturb ends the servers that are lost in a step.
+func (c *cluster) disturb(trouble string, step int) {
+	switch {
+	case trouble == zoneLost && step == 40:
+		for server := 0; server < len(c.runs); server += zones {
+			c.end(server)
+		}
+	case trouble == lostInTurns && step > 30 && step%10 == 0:
+		c.end(step / 10 % len(c.runs))
+	}
+}
+
 // play plays a scenario and checks it.
 func (s scenario) play(t interface{ Fatalf(string, ...any) }) {
 	c := newCluster(rand.New(rand.NewPCG(s.seed, 1)), s.instances, s.servers, s.lossRate, 300*time.Millisecond)
@@ -360,14 +372,7 @@
 			deadly = s.deadly
 		}
 		c.arrive(deadly, s.sound)
-		switch {
-		case s.trouble == zoneLost && step == 40:
-			for server := 0; server < s.servers; server += zones {
-				c.end(server)
-			}
-		case s.trouble == lostInTurns && step > 30 && step%10 == 0:
-			c.end(step / 10 % s.servers)
-		}
+		c.disturb(s.trouble, step)
 	}
 	c.check(t, s.deadly)
 	if limit := c.requests / 50; c.refusedSound > limit {
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -47,14 +47,7 @@
 		if step >= beginStep {
 			s.arrive(c)
 		}
-		switch {
-		case s.trouble == zoneLost && step == 40:
-			for server := 0; server < s.servers; server += zones {
-				c.end(server)
-			}
-		case s.trouble == lostInTurns && step > 30 && step%10 == 0:
-			c.end(step / 10 % s.servers)
-		}
+		c.disturb(s.trouble, step)
 	}
 	s.check(t, c)
 }
