software-version: the version of a server and what a request resumes are decoded and logged; no decision changes

request_served, attempt_failed, request_refused and request_broken have the version of the server, the last event and the request that brought a resumed stream's first event; server_state has the version. Before, neither a resumption by the caller nor one by the instance could be told from our logs.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -197,7 +197,7 @@
 		}
 	}
 	h.log.WithFields(logrus.Fields{
-		"event": "server_state", "server": s.ID, "pool": s.Pool, "zone": s.Zone, "former": former, "state": s.Lifecycle, "born": s.StartedAtMs,
+		"event": "server_state", "server": s.ID, "pool": s.Pool, "zone": s.Zone, "version": s.Version, "former": former, "state": s.Lifecycle, "born": s.StartedAtMs,
 		"reclaimable": s.Reclaimable, "leaves_ms": s.LeavesIn.Milliseconds(), "revision": revision.Number,
 	}).Info("server is new, restarted or changed its state")
 }
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -10,6 +10,9 @@
 type Server struct {
 	machine.Server
 	Lifecycle machine.Lifecycle
+	// Version is the version of the server's software; empty when it is unknown. Versions
+	// have no order.
+	Version string
 	// StartedAtMs is the start of this incarnation in Unix milliseconds; 0 when the
 	// server does not report it.
 	StartedAtMs int64
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -265,6 +265,15 @@
 		"config": r.server.Snapshot().Config.Version, "report_age_ms": time.Since(c.server.ReportedAt).Milliseconds(),
 		"active": c.estimate.Work.Active,
 	}
+	if c.server.Version != "" {
+		f["version"] = c.server.Version
+	}
+	if r.lastEvent != "" {
+		f["last_event"] = r.lastEvent
+	}
+	if r.req.Resumes != "" {
+		f["resumes"] = r.req.Resumes
+	}
 	if r.attempts > 0 {
 		f["framing"] = r.framing
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -37,6 +37,9 @@
 	// LastEventID is the id of the last event that the caller received of a stream
 	// that it resumes; empty for a new stream.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that the
+	// caller resumes; empty for a new stream.
+	Resumes string
 
 	Arrived time.Time
 	// Deadline is when the caller stops waiting, and Timeout when the route requires
