--- a/internal/serve/move_test.go
+++ b/internal/serve/move_test.go
@@ -30,6 +30,8 @@
 	stopCopyFails bool
 	// finishesIn is the time until the run finishes; 0 means never.
 	finishesIn time.Duration
+	// versions holds the software versions of the servers, in turn; nil leaves them alike.
+	versions []string
 
 	mu      sync.Mutex
 	begun   time.Time
@@ -120,6 +122,9 @@
 	var outcome error
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(4, nil)
+		if b.versions != nil {
+			ofVersions(f, b.versions...)
+		}
 		var snapshot atomic.Pointer[fleet.Snapshot]
 		snapshot.Store(f.Snapshot())
 		f.Snapshot = snapshot.Load
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -111,7 +111,7 @@
 	var list []*fleet.Server
 	for i := range servers {
 		list = append(list, &fleet.Server{
-			Server: machine.Server{ID: machine.ID(fmt.Sprintf("s%d", i)), Pool: "p", Zone: "z", Reclaimable: true}, Lifecycle: machine.Serving, Slots: 8,
+			Server: machine.Server{ID: machine.ID(fmt.Sprintf("s%d", i)), Pool: "p", Zone: "z", Reclaimable: true}, Lifecycle: machine.Serving, Version: "v1", Slots: 8,
 		})
 	}
 	snapshot := &fleet.Snapshot{
