software-version: a stream goes on only at the version of the servers' software that began it

Cause: a continuation was chosen as if all servers of a pool were alike; the version of a server's entry was not read, nor Resumes. Class: what began an answer decides who may go on with it. Mended wherever a continuation is chosen: the next attempt of a run, the destination of a move, a caller's resumption at this instance, at another one, and after all instances were killed.

internal/origin: Origin.CanContinue is the one predicate. An instance knows the streams that it began. Of others: - The store has a list of each pool's versions. A version is listed before it begins its first stream and until 30 s after its last server was seen. While there is one, a resumption reads the list (not a copy of it) and is known; no records are written. - While there are several, each instance writes a record of each resumable stream as it is sent, in batches. What is not known is refused at once, not guessed. - A stream that begins at another version than the one recorded is stored first; two records that disagree are unknown. - A list counts after a restore of the store only when it is known to be whole.

Cost: calls to the store while several versions serve, a new version serves resumable streams once it is listed (a write and a read of the store later).

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -53,7 +53,7 @@
 	return entry.New(entry.Options{
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
-			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps,
+			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps, StoreWritesPerSecond: s.StoreWritesPerSecond,
 			RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Reloadable: reloadableSettings(s),
 		},
 		Store:   client,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"kumquatyard/internal/follow"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/origin"
 	"kumquatyard/internal/peers"
 	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/quota"
@@ -43,7 +44,11 @@
 	PeersAddress     string
 	MetricsAddress   string
 	// LinkMbps is the bandwidth of the instance's network link, 0 if it is not known.
-	LinkMbps    uint32
+	LinkMbps uint32
+	// StoreWritesPerSecond is the number of writing calls that the store takes from all
+	// instances together; 0 if it is not known.
+	StoreWritesPerSecond float64
+
 	RetryWindow time.Duration
 	UsageWindow time.Duration
 	Reloadable  ReloadableSettings
@@ -133,7 +138,9 @@
 	// quarantine judges requests and parts of prompts by the servers that ended under them.
 	quarantine *quarantine.Tracker
 	// limits holds the limits of request rates that servers name.
-	limits   *ratelimit.Tracker
+	limits *ratelimit.Tracker
+	// origins knows which versions of the servers' software began streams.
+	origins  *origin.Tracker
 	core     *serve.Server
 	frontend Frontend
 	exchange *peers.Exchange
@@ -157,6 +164,8 @@
 	// budgetShare is the part of the fleet's retry budget that is used; the rest
 	// covers the delay with which instances learn of each other.
 	budgetShare = 0.7
+	// recordShare is the part of the store's writing calls that records of streams may take.
+	recordShare = 0.25
 	// maintainInterval is the interval of the checks for expired servers and for
 	// changes in the number of instances.
 	maintainInterval = 250 * time.Millisecond
@@ -180,9 +189,13 @@
 	i.reloadable.Store(&o.Settings.Reloadable)
 	i.snapshots.setWithheld(true)
 	i.snapshots.onConfig = func(c *fleet.Config) { i.levels.SetQuotas(c.Workspaces) }
+	i.origins = origin.New(origin.Options{
+		Store: o.Store, Snapshot: i.snapshots.Load, Instances: i.count, WritesLists: i.readsStore,
+		WritesPerSecond: recordShare * o.Settings.StoreWritesPerSecond, Log: o.Log,
+	})
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Origins: i.origins, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
@@ -248,6 +261,10 @@
 	start(func(context.Context) error { i.register(ctx, background); return nil })
 	start(func(ctx context.Context) error { i.maintain(ctx); return nil })
 	start(i.newConfigKeeper().run)
+	start(func(ctx context.Context) error {
+		i.origins.Run(ctx, func() uint64 { return i.follower.Era().Number })
+		return nil
+	})
 	if i.RunDuties != nil {
 		start(func(background context.Context) error { i.RunDuties(background, i.dutyContext(ctx.Done())); return nil })
 	}
@@ -287,6 +304,9 @@
 		Subscriptions: []follow.Subscription{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, snapshots: i.snapshots, log: i.Log}},
 			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, snapshots: i.snapshots, log: i.Log}},
+			// After the servers, so that a version that the list lacks is not taken for one that
+			// it has lost.
+			{Prefix: origin.VersionsPrefix, Handler: i.origins},
 			{Prefix: membersPrefix, Handler: &memberHandler{changed: i.setMembers, log: i.Log}},
 		},
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -32,6 +32,9 @@
 	}
 }
 
+// readsStore reports whether this instance reads the store itself.
+func (i *Instance) readsStore() bool { return i.storeRole() != follow.Relayed }
+
 // publishChanges relays a batch that this instance read to the zone's other
 // instances.
 func (i *Instance) publishChanges(b follow.Batch) {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -22,6 +22,8 @@
 
 	hosts map[string][]*Route
 	keys  map[string]*Workspace
+	// resumable holds the names of the pools whose streams may be resumed.
+	resumable []string
 }
 
 // Route is a rule for the requests to one host whose path has a prefix.
@@ -53,6 +55,11 @@
 // run but whose answer did not reach the caller.
 func (r *Route) MayRepeat() bool { return r.Idempotent || r.Resumable }
 
+// HasTarget reports whether requests may be sent to a pool.
+func (r *Route) HasTarget(pool string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Pool == pool })
+}
+
 // Target is a pool and its weight among a route's targets.
 type Target struct {
 	Pool   string
@@ -158,6 +165,7 @@
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
+	c.resumable = resumablePools(routes)
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -170,6 +178,24 @@
 	return c
 }
 
+// resumablePools returns the pools of the routes whose streams may be resumed.
+func resumablePools(routes []*Route) []string {
+	var pools []string
+	for _, r := range routes {
+		if !r.Stream || !r.Resumable {
+			continue
+		}
+		for _, t := range r.Targets {
+			pools = append(pools, t.Pool)
+		}
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
+
+// ResumablePools returns the names of the pools whose streams may be resumed.
+func (c *Config) ResumablePools() []string { return c.resumable }
+
 // Match returns the route of a host that has the longest prefix of path, or nil. host may
 // include a port.
 func (c *Config) Match(host, path string) *Route {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer func() { job.Done(time.Now()) }()
+	r.beginStream(c.server)
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -48,6 +48,9 @@
 	exclude     []machine.ID
 	prompt      *forecast.Prompt
 	isSuspected func(machine.ID) bool
+	// mayServe reports whether a server's version may serve the request; nil means that all
+	// may.
+	mayServe func(*fleet.Server) bool
 	// isWanted reports whether a server accepts requests; nil means that all do.
 	isWanted func(*fleet.Server) bool
 	// isLimited reports whether a server has a limit of its request rate; nil means that none
@@ -136,6 +139,9 @@
 	if !s.Usable() || (p.isSuspected(s.ID) || s.LeaseExpired()) != onlySuspected {
 		return false
 	}
+	if p.mayServe != nil && !p.mayServe(s) {
+		return false
+	}
 	if p.isWanted != nil && !p.isWanted(s) {
 		return false
 	}
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -69,7 +69,7 @@
 func (r *run) hasUntriedServer() bool {
 	now := time.Now()
 	return slices.ContainsFunc(r.server.Snapshot().Servers[r.pool], func(s *fleet.Server) bool {
-		return s.Usable() && r.server.accepts(s, now) && s.ID != r.currentServer && !slices.Contains(r.exclude, s.ID)
+		return s.Usable() && r.mayServe(s) && r.server.accepts(s, now) && s.ID != r.currentServer && !slices.Contains(r.exclude, s.ID)
 	})
 }
 
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +13,7 @@
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/frame"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/origin"
 	"kumquatyard/internal/ratelimit"
 )
 
@@ -51,6 +53,8 @@
 	headSent bool
 	// firstByte is the time from the arrival to the head of the answer.
 	firstByte time.Duration
+	// origin is what began the stream; nil before its first event.
+	origin *origin.Origin
 	// lastEvent is the id of the last event that was forwarded to the caller.
 	lastEvent string
 	// answerBegun is set once the head of the current attempt's answer has arrived.
@@ -75,15 +79,25 @@
 	handle Handle
 }
 
-// serve makes attempts until the request is answered, refused or truncated.
+// serve answers, refuses or truncates the request.
 func (r *run) serve() error {
 	r.lastEvent = r.req.LastEventID
 	if r.req.Prompt != nil {
 		r.parts = r.req.Prompt.SharedParts()
 	}
-	r.pool = r.req.Route.PickPool(seed())
+	r.pool = r.req.Route.PickPool(r.poolDraw())
 	r.server.Budget.Request(r.pool, time.Now())
+	if err := r.resolveOrigin(); err != nil {
+		return r.fail(err)
+	}
 	defer r.release()
+	err := r.makeAttempts()
+	r.endStream()
+	return err
+}
+
+// makeAttempts makes attempts until the request is answered, refused or truncated.
+func (r *run) makeAttempts() error {
 	for {
 		choice, err := r.choose()
 		if err != nil {
@@ -151,6 +165,9 @@
 // If servers asked for no requests for a time, the caller may come back when the first
 // of them accepts requests again.
 func (r *run) refuseWithoutServer(servers []*fleet.Server, now time.Time) error {
+	if servers = slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return !r.mayServe(s) }); len(servers) == 0 && r.origin != nil {
+		return contract.Refusal(contract.KindUnavailable, retryAfterNoServer, "no server of the version that began the stream serves")
+	}
 	if wait := r.server.shortestBackoff(servers, now); wait > 0 {
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "all servers of the pool turn requests away")
 	}
@@ -167,7 +184,7 @@
 func (r *run) placement(exclude []machine.ID, now time.Time) *placement {
 	s := r.server
 	return &placement{
-		zone: s.Zone, servers: s.Snapshot().Servers[r.pool], exclude: exclude, seed: seed(), sample: sampleSize(s.Instances()),
+		zone: s.Zone, servers: s.Snapshot().Servers[r.pool], mayServe: r.mayServe, exclude: exclude, seed: seed(), sample: sampleSize(s.Instances()),
 		isSuspected: func(id machine.ID) bool { return s.isSuspected(id, now) },
 		isWanted:    func(server *fleet.Server) bool { return s.accepts(server, now) },
 		isLimited:   func(server *fleet.Server) bool { return s.Limits.IsLimited(ratelimit.IncarnationOf(server)) },
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -15,6 +15,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/origin"
 	"kumquatyard/internal/outlier"
 	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/ratelimit"
@@ -55,6 +56,9 @@
 	// Limits holds the limits of request rates that servers name; New creates one for a
 	// single instance if it is nil.
 	Limits *ratelimit.Tracker
+	// Origins knows which versions of the servers' software began streams; New creates one for
+	// a single instance if it is nil.
+	Origins *origin.Tracker
 	// MarkLeaving is called with a server whose answer says that it is leaving; may be
 	// nil.
 	MarkLeaving func(*fleet.Server)
@@ -86,6 +90,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(o.Log)
 	}
+	if o.Origins == nil {
+		o.Origins = origin.New(origin.Options{Log: o.Log})
+	}
 	if o.Limits == nil {
 		o.Limits = ratelimit.New("", o.Log)
 		o.Limits.SetInstances(nil, time.Now())
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -39,6 +39,9 @@
 		if len(part) > 0 {
 			stopTimer()
 			job.FirstToken(time.Now())
+			if err := r.confirmOrigin(server); err != nil {
+				return false, err
+			}
 			if err := r.forward(a, part); err != nil {
 				return true, err
 			}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -48,6 +48,18 @@
 	Timeout  time.Time
 }
 
+// IsResumption reports whether the caller resumes a stream.
+func (r *Request) IsResumption() bool { return r.LastEventID != "" }
+
+// StreamID identifies the request's stream: the ID of the request that brought its first
+// event. It is empty if a caller that resumes a stream does not say.
+func (r *Request) StreamID() string {
+	if r.IsResumption() {
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // EffectiveDeadline returns the earlier of Deadline and Timeout, by which the final
 // answer is due; zero when neither is set.
 func (r *Request) EffectiveDeadline() time.Time {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -104,6 +104,9 @@
 	Era() uint64
 }
 
+// MaxSetAll is the number of keys that SetAll may write.
+const MaxSetAll = 32
+
 // Writer changes the store. A call that got no answer may have taken effect.
 type Writer interface {
 	// CompareAndSwap writes a key if it has the expected revision and returns the new
@@ -113,6 +116,9 @@
 	CompareAndSwap(ctx context.Context, p Put) (revision Revision, err error)
 	// Set writes a key regardless of its revision.
 	Set(ctx context.Context, key string, value []byte, lease Lease) error
+	// SetAll writes several keys, at most MaxSetAll, regardless of their revisions, all or
+	// none of them.
+	SetAll(ctx context.Context, values map[string][]byte, lease Lease) error
 	// Remove removes keys regardless of their revision.
 	Remove(ctx context.Context, keys ...string) error
 	// CreateLease creates a lease, RenewLease restarts its time to live, and
