lost-paths: an instance notices that it reaches no server, and logs it; no request is served otherwise

paths_changed says when an instance reaches none of four probed servers, and when it does again. Probes are made only if several servers accept no connections, or if nothing is heard for 0.3 s though several have requests. internal/reach judges without I/O.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -31,13 +31,16 @@
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer func() { job.Done(time.Now()) }()
 	r.beginStream(c.server)
+	wait := s.paths.Begin(c.server.ID, nil, time.Now())
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
 	})
+	s.paths.End(wait)
 	if err != nil {
 		return false, r.recordUnanswered(c.server, err)
 	}
+	s.paths.Heard(time.Now())
 	r.attempts++
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
@@ -110,6 +113,9 @@
 			r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
 		}
 		r.server.suspect(server.ID, now)
+		if r.ctx.Err() == nil {
+			r.server.paths.Failed(server.ID, now)
+		}
 		return errors.Join(err, errUnreachable)
 	}
 	r.attempts++
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -19,6 +19,7 @@
 	"kumquatyard/internal/outlier"
 	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/ratelimit"
+	"kumquatyard/internal/reach"
 	"kumquatyard/internal/retry"
 )
 
@@ -76,7 +77,11 @@
 	ejected  atomic.Pointer[map[machine.ID]bool]
 	suspects sync.Map // machine.ID → suspicion
 	backoffs backoffs
-	ends     endChecks
+	// paths judges whether this instance reaches the servers; probing is set during a round
+	// of probes.
+	paths   *reach.Watch
+	probing atomic.Bool
+	ends    endChecks
 }
 
 // ejectionSettings eject a failing server for seconds only, since servers are
@@ -97,7 +102,7 @@
 		o.Limits = ratelimit.New("", o.Log)
 		o.Limits.SetInstances(nil, time.Now())
 	}
-	return &Server{Options: o, streams: newStreams(), outliers: outlier.New(ejectionSettings)}
+	return &Server{Options: o, streams: newStreams(), paths: reach.New(), outliers: outlier.New(ejectionSettings)}
 }
 
 // Running returns the number of requests in flight.
@@ -208,6 +213,7 @@
 		}
 	}
 	s.evacuate(known)
+	s.probePaths(p, now)
 	s.Quarantine.Expire(now)
 	s.ends.expire(now)
 	s.mu.Lock()
