lost-paths: an instance that reaches no server hands its requests to others

Cause: a failed path was taken for a failed server, and each instance was alone with its paths. Class: what one instance sees of a path is used as a judgment of the server, or of the request.

Requests that wait where the path is down are aborted if they may be repeated. - A request goes whole to another instance (by HTTP on the internal port, where messages arrive by UDP) while this one reaches no server, after two servers that it could not be sent to, if only servers that are not reached are left for it, or the others would be too late. One hop, own zone first, at random, with what is left of deadline and attempts; charged where it arrived. One that declines is left out for 0.4 s. The loss of the other instance says that it may have run. - A refused connection counts as the end of a server, as evidence against the request, only if this instance reaches another server.

TestRefusalByAllServersIsNoEnd is red without the question to another server.

--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// ParseVerdict returns the verdict with a name on the wire.
+func ParseVerdict(name string) (v Verdict, ok bool) {
+	for v := NotRun; v <= Ran; v++ {
+		if v.String() == name {
+			return v, true
+		}
+	}
+	return 0, false
+}
+
 // ErrorKind classifies an error by what the caller can do about it.
 type ErrorKind uint8
 
@@ -73,6 +83,16 @@
 // String returns the kind's name on the wire.
 func (k ErrorKind) String() string { return kindNames[k] }
 
+// ParseKind returns the kind with a name on the wire.
+func ParseKind(name string) (k ErrorKind, ok bool) {
+	for kind := KindInvalid; kind.String() != ""; kind++ {
+		if kind.String() == name {
+			return kind, true
+		}
+	}
+	return 0, false
+}
+
 var kindStatuses = map[ErrorKind]int{
 	KindInvalid:      400,
 	KindUnauthorized: 401,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,8 @@
 // Frontend serves callers.
 type Frontend interface {
 	Serve(l net.Listener) error
+	// ServeHandovers serves requests that other instances hand over.
+	ServeHandovers(l net.Listener) error
 	// CloseConnections makes each connection close after its next answer.
 	CloseConnections()
 	// RefuseWork refuses new requests with a status that says that they did not run.
@@ -195,7 +197,7 @@
 	})
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Origins: i.origins, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Origins: i.origins, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
@@ -235,6 +237,11 @@
 	if err != nil {
 		return fmt.Errorf("open listener for callers: %w", err)
 	}
+	// Requests that are handed over arrive by TCP where messages arrive by UDP.
+	handovers, err := net.Listen("tcp", i.Settings.PeersAddress)
+	if err != nil {
+		return fmt.Errorf("open listener for requests of other instances: %w", err)
+	}
 	readiness, err := net.Listen("tcp", i.Settings.ReadinessAddress)
 	if err != nil {
 		return fmt.Errorf("open listener for readiness checks: %w", err)
@@ -243,7 +250,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var wg conc.WaitGroup
-	failures := make(chan error, 4)
+	failures := make(chan error, 5)
 	start := func(f func(context.Context) error) {
 		wg.Go(func() {
 			if err := f(background); err != nil && background.Err() == nil {
@@ -252,6 +259,7 @@
 		})
 	}
 	start(func(context.Context) error { return i.frontend.Serve(callers) })
+	start(func(context.Context) error { return i.frontend.ServeHandovers(handovers) })
 	start(func(context.Context) error { return i.serveReadiness(background, readiness) })
 	start(func(ctx context.Context) error {
 		return telemetry.Serve(ctx, i.Settings.MetricsAddress, nil, map[string]http.Handler{"GET " + configPath: http.HandlerFunc(i.serveConfig)})
@@ -276,6 +284,7 @@
 	cancel()
 	_ = readiness.Close()
 	_ = callers.Close()
+	_ = handovers.Close()
 	wg.Wait()
 	i.Log.WithFields(logrus.Fields{"event": "stopped"}).Info("instance stopped")
 	return err
@@ -379,6 +388,16 @@
 	}
 }
 
+// helpers returns the other instances, which may serve requests of this one.
+func (i *Instance) helpers() []serve.Helper {
+	others := i.exchange.Others()
+	list := make([]serve.Helper, len(others))
+	for n, m := range others {
+		list[n] = serve.Helper{Name: m.GetName(), Zone: m.GetZone(), Address: m.GetAddress()}
+	}
+	return list
+}
+
 // setMembers applies the store's list of instances.
 func (i *Instance) setMembers(members []*pb.Instance) {
 	i.exchange.SetMembers(members)
--- a/internal/link/errors.go
+++ b/internal/link/errors.go
@@ -55,17 +55,8 @@
 		RetryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond,
 	}
 	name, message, found := strings.Cut(resp.GetError(), ": ")
-	if kind, known := kindByName(name); found && known {
+	if kind, known := contract.ParseKind(name); found && known {
 		e.Kind, e.Message = kind, message
 	}
 	return e
 }
-
-func kindByName(name string) (contract.ErrorKind, bool) {
-	for kind := contract.KindInvalid; kind.String() != ""; kind++ {
-		if kind.String() == name {
-			return kind, true
-		}
-	}
-	return 0, false
-}
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -1,7 +1,9 @@
 package peers
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,6 +21,13 @@
 	return max(len(e.listed)+1, int(e.freshSum(now).GetInstances()))
 }
 
+// Others returns the other instances that the store lists.
+func (e *Exchange) Others() []*pb.Instance {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Values(e.listed))
+}
+
 // freshSum returns the last sum, nil if it is too old.
 func (e *Exchange) freshSum(now time.Time) *pb.FleetSum {
 	if now.Sub(e.sumAt) >= sumTimeout {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/ratelimit"
+	"kumquatyard/internal/reach"
 )
 
 // firstByteTimeoutShare is the fraction of the remaining time that a server has for
@@ -26,12 +28,12 @@
 	s := r.server
 	r.tries++
 	r.currentServer, r.answerBegun, r.sentAt = c.server.ID, false, time.Time{}
-	ctx, stopTimer, cancel := r.attemptContext()
+	ctx, abort, stopTimer, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer func() { job.Done(time.Now()) }()
 	r.beginStream(c.server)
-	wait := s.paths.Begin(c.server.ID, nil, time.Now())
+	wait := s.paths.Begin(c.server.ID, abort, time.Now())
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
@@ -40,7 +42,7 @@
 	if err != nil {
 		return false, r.recordUnanswered(c.server, err)
 	}
-	s.paths.Heard(time.Now())
+	s.paths.Heard(c.server.ID, time.Now())
 	r.attempts++
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
@@ -86,19 +88,23 @@
 // errFirstByteTimeout ends an attempt whose server did not start to answer.
 var errFirstByteTimeout = errors.New("no first byte from the server within the first-byte timeout")
 
+// errPathsLost ends an attempt whose server this instance does not reach any more.
+var errPathsLost = errors.New("this instance does not reach the server any more")
+
 // attemptContext returns the context of an attempt. For a request that may be
 // repeated at another server, it bounds the wait for the first byte, since the
-// server may have become unresponsive. stopTimer lifts that bound.
-func (r *run) attemptContext() (ctx context.Context, stopTimer func(), cancel context.CancelFunc) {
+// server may have become unresponsive; stopTimer lifts that bound, and abort ends the wait at
+// once, nil if the request may not be repeated.
+func (r *run) attemptContext() (ctx context.Context, abort, stopTimer func(), cancel context.CancelFunc) {
 	ctx, stop := context.WithCancelCause(r.ctx)
 	cancel = func() { stop(nil) }
 	end := r.req.EffectiveDeadline()
-	if !r.req.Route.MayRepeat() || r.attempts+1 >= r.req.Route.MaxAttempts || end.IsZero() {
-		return ctx, func() {}, cancel
+	if !r.req.Route.MayRepeat() || r.attempts+1 >= r.req.MaxAttempts() || end.IsZero() {
+		return ctx, nil, func() {}, cancel
 	}
 	timeout := time.Duration(firstByteTimeoutShare * float64(time.Until(end)))
 	timer := time.AfterFunc(timeout, func() { stop(errFirstByteTimeout) })
-	return ctx, func() { timer.Stop() }, cancel
+	return ctx, func() { stop(errPathsLost) }, func() { timer.Stop() }, cancel
 }
 
 // recordUnanswered records an attempt that got no answer and returns its error,
@@ -112,15 +118,19 @@
 		if !r.sentAt.IsZero() {
 			r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
 		}
-		r.server.suspect(server.ID, now)
 		if r.ctx.Err() == nil {
-			r.server.paths.Failed(server.ID, now)
+			outcome := reach.Silent
+			if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+				outcome = reach.Refused
+			}
+			r.server.paths.Failed(server.ID, outcome, now)
+			r.unreached++
 		}
 		return errors.Join(err, errUnreachable)
 	}
 	r.attempts++
 	r.mayHaveRun = true
-	if r.ctx.Err() == nil {
+	if r.ctx.Err() == nil && !r.server.paths.IsDown(server.ID) {
 		r.server.suspect(server.ID, now)
 		r.server.observe(server.ID, true)
 	}
--- /dev/null
+++ b/internal/serve/handover.go
@@ -0,0 +1,211 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
+	"kumquatyard/internal/frame"
+)
+
+// Helper is another instance, which may serve requests of this one.
+type Helper struct {
+	Name string
+	Zone string
+	// Address is where it takes requests from other instances.
+	Address string
+}
+
+// HandOver is a Backend that can hand a request over to another instance, which serves it as its
+// own, at most once.
+type HandOver interface {
+	// HandOver returns the helper's answer. Its errors are *contract.Error, joined with
+	// ErrDeclined if the helper reaches no server either, or is starting or stopping.
+	// attempts is the number of servers to which the helper may send it.
+	HandOver(ctx context.Context, helper Helper, req *Request, attempts int) (*Answer, error)
+}
+
+// ErrDeclined means that another instance cannot serve the requests of this one at present.
+var ErrDeclined = errors.New("the other instance serves no requests of this one at present")
+
+const (
+	// handOverTries is the number of helpers that a request is offered to.
+	handOverTries = 6
+	// declinedTime is how long a helper that declined, or was not reached, is left out.
+	declinedTime = 400 * time.Millisecond
+	// unreachedServers is the number of servers that a request could not be sent to, after
+	// which it is handed over although this instance may reach others.
+	unreachedServers = 2
+)
+
+// declinedHelpers holds the helpers that declined lately.
+type declinedHelpers struct{ until sync.Map } // name → time.Time
+
+func (d *declinedHelpers) add(name string, now time.Time) {
+	d.until.Store(name, now.Add(declinedTime))
+}
+
+func (d *declinedHelpers) has(name string, now time.Time) bool {
+	until, ok := d.until.Load(name)
+	return ok && now.Before(until.(time.Time))
+}
+
+// chooseHelpers returns helpers in the order in which a request is offered to them: at random,
+// those of the zone first, since traffic between zones costs more.
+func chooseHelpers(helpers []Helper, zone string, declined func(name string) bool, random *rand.Rand) []Helper {
+	var near, far []Helper
+	for _, n := range random.Perm(len(helpers)) {
+		h := helpers[n]
+		switch {
+		case declined(h.Name):
+		case h.Zone == zone:
+			near = append(near, h)
+		default:
+			far = append(far, h)
+		}
+	}
+	chosen := append(near, far...)
+	return chosen[:min(len(chosen), handOverTries)]
+}
+
+// mayHandOver reports whether the request may be handed over: neither has another instance handed
+// it over nor has its caller got a part of the answer, and it may be sent to one more server.
+func (r *run) mayHandOver() bool {
+	if r.req.HandedOver || r.handedOver || r.headSent || r.ctx.Err() != nil || r.server.Helpers == nil {
+		return false
+	}
+	if r.attempts >= r.req.MaxAttempts() || (r.mayHaveRun && !r.req.Route.MayRepeat()) {
+		return false
+	}
+	return true
+}
+
+// mustHandOver reports whether this instance is known not to reach servers.
+func (r *run) mustHandOver() bool {
+	return r.server.paths.Lost() || r.unreached >= unreachedServers
+}
+
+// lacksServer reports whether the outcome of a choice is due to servers that this instance does
+// not reach: the best of all is one of them, or the others do not take the request.
+func (r *run) lacksServer(choice candidate, err error) bool {
+	if err == nil {
+		return r.server.paths.IsDown(choice.server.ID)
+	}
+	return slices.ContainsFunc(r.server.Snapshot().Servers[r.pool], func(s *fleet.Server) bool {
+		return s.Usable() && r.mayServe(s) && r.server.paths.IsDown(s.ID)
+	})
+}
+
+// handOver offers the request to other instances. handled is false if none of them takes it.
+func (r *run) handOver() (handled bool, err error) {
+	backend, ok := r.server.Backend.(HandOver)
+	if !ok {
+		return false, nil
+	}
+	r.handedOver = true
+	now := time.Now()
+	random := rand.New(rand.NewPCG(seed(), 0))
+	isDeclined := func(name string) bool { return r.server.declined.has(name, now) }
+	for _, helper := range chooseHelpers(r.server.Helpers(), r.server.Zone, isDeclined, random) {
+		answer, err := backend.HandOver(r.ctx, helper, r.req, r.req.MaxAttempts()-r.attempts)
+		if errors.Is(err, ErrDeclined) && r.ctx.Err() == nil {
+			r.server.declined.add(helper.Name, time.Now())
+			r.logHandOver(helper, "declined", err)
+			continue
+		}
+		if err == nil {
+			err = r.relayHandedOver(answer)
+		} else {
+			r.mayHaveRun = r.mayHaveRun || contract.VerdictOf(err) != contract.NotRun
+		}
+		r.logHandOver(helper, "handled", err)
+		return true, err
+	}
+	return false, nil
+}
+
+// endHandedOver returns the outcome of a request that another instance has handled.
+func (r *run) endHandedOver(err error) error {
+	if err == nil || errors.Is(err, ErrTruncated) {
+		r.countServed(err)
+		return err
+	}
+	return r.fail(err)
+}
+
+// relayHandedOver forwards another instance's answer to the caller. An answer that breaks off
+// before a part of it was forwarded is a failure; the request may have run.
+func (r *run) relayHandedOver(a *Answer) error {
+	defer a.Body.Close()
+	r.ran = true
+	if r.req.Route.Stream && a.Status == http.StatusOK {
+		return r.relayHandedOverStream(a)
+	}
+	head, err := io.ReadAll(io.LimitReader(a.Body, bufferedBytes))
+	if err != nil {
+		return contract.Unavailable(contract.MayHaveRun, "the other instance's answer broke off", err)
+	}
+	isWhole := len(head) < bufferedBytes
+	if isWhole {
+		a.Length = int64(len(head))
+	}
+	if err := r.begin(a); err != nil {
+		return err
+	}
+	if err := r.caller.Write(head); err != nil || isWhole {
+		return truncatedIf(err)
+	}
+	return r.relayRest(a)
+}
+
+// relayHandedOverStream forwards the complete events of another instance's answer.
+func (r *run) relayHandedOverStream(a *Answer) error {
+	events := frame.NewEvents(a.Body, a.Framing)
+	a.Length = -1
+	for {
+		part, err := events.Next()
+		if len(part) > 0 {
+			if err := r.forward(a, part); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return r.begin(a)
+		case err != nil && r.headSent:
+			return ErrTruncated
+		case err != nil:
+			return contract.Unavailable(contract.MayHaveRun, "the other instance's stream broke off", err)
+		}
+	}
+}
+
+func truncatedIf(err error) error {
+	if err != nil {
+		return ErrTruncated
+	}
+	return nil
+}
+
+// logHandOver logs and counts what became of a request that was offered to another instance.
+func (r *run) logHandOver(helper Helper, outcome string, err error) {
+	countHandOver(outcome, err)
+	entry := r.server.Log.WithFields(logrus.Fields{
+		"event": "request_handed_over", "request": r.req.ID, "route": r.req.Route.Name, "pool": r.pool, "helper": helper.Name, "outcome": outcome,
+		"paths_lost": r.server.paths.Lost(), "unreached": r.unreached, "first_byte_ms": r.firstByte.Milliseconds(), "ms": time.Since(r.req.Arrived).Milliseconds(),
+	})
+	if err != nil {
+		entry.WithError(err).Info("the request was offered to another instance, since this one does not reach servers")
+		return
+	}
+	entry.Info("the request was served by another instance, since this one does not reach servers")
+}
--- /dev/null
+++ b/internal/serve/handover_test.go
@@ -0,0 +1,187 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"kumquatyard/internal/contract"
+	"kumquatyard/internal/machine"
+	"kumquatyard/internal/reach"
+)
+
+// helpedBackend is a backend whose servers this instance does not reach, beside other instances
+// that answer by a script.
+type helpedBackend struct {
+	fakeBackend
+	offers   []string
+	attempts []int
+	help     func(helper Helper, req *Request) (*Answer, error)
+}
+
+func (b *helpedBackend) HandOver(_ context.Context, helper Helper, req *Request, attempts int) (*Answer, error) {
+	b.offers = append(b.offers, helper.Name)
+	b.attempts = append(b.attempts, attempts)
+	return b.help(helper, req)
+}
+
+func declined() error {
+	return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.NotRun, Message: "declined", Err: ErrDeclined}
+}
+
+func newHelpedFixture(help func(Helper, *Request) (*Answer, error)) (*fixture, *helpedBackend) {
+	b := &helpedBackend{help: help}
+	b.script = func(int, context.Context, *Attempt) (*Answer, error) { return nil, verdictError(contract.NotRun) }
+	f := newFixture(5, nil)
+	f.Backend = b
+	f.Helpers = func() []Helper { return []Helper{{"far", "y", ""}, {"near", "z", ""}, {"near2", "z", ""}} }
+	return f, b
+}
+
+// While this instance reaches no server, a request goes to another instance at once, to those
+// of its zone first, and is not sent to a server (issue 30, RECOVER).
+func TestRequestIsHandedOverWhilePathsAreLost(t *testing.T) {
+	f, b := newHelpedFixture(func(helper Helper, _ *Request) (*Answer, error) {
+		if helper.Name != "far" {
+			return nil, declined()
+		}
+		return ok("answer"), nil
+	})
+	f.paths.Judge(false)
+	caller := &fakeCaller{}
+	if err := f.Serve(t.Context(), request(once), caller); err != nil || caller.body.String() != "answer" {
+		t.Fatalf("answer %q, error %v, want that of the other instance", caller.body.String(), err)
+	}
+	if len(b.fakeBackend.attempts) != 0 || len(b.offers) != 3 || b.offers[2] != "far" {
+		t.Errorf("%d attempts, offers to %v, want none, and the other zone last", len(b.fakeBackend.attempts), b.offers)
+	}
+	if f.quotas.taken != 1 || f.quotas.refunded != 0 || f.usage.n != 0 {
+		t.Errorf("%v charged, %v refunded, %d starts counted; want one charge, and the start counted by the other instance", f.quotas.taken, f.quotas.refunded, f.usage.n)
+	}
+	b.offers = nil
+	if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil || !slices.Equal(b.offers, []string{"far"}) {
+		t.Errorf("error %v, offers to %v, want none to those that have just declined", err, b.offers)
+	}
+}
+
+// A request that no instance can serve is refused at once, as not run, and is not charged.
+func TestRequestThatNobodyServesIsRefusedAtOnce(t *testing.T) {
+	f, _ := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return nil, declined() })
+	f.paths.Judge(false)
+	err := f.Serve(t.Context(), request(once), &fakeCaller{})
+	if contract.VerdictOf(err) != contract.NotRun || f.quotas.refunded != f.quotas.taken {
+		t.Errorf("error %v, %v of %v refunded; want a refusal as not run without a charge", err, f.quotas.refunded, f.quotas.taken)
+	}
+}
+
+// The other instance is lost after the request was handed over: it may have run, so that one
+// that is not idempotent is not handed over again.
+func TestRequestThatMayHaveRunIsNotHandedOverAgain(t *testing.T) {
+	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return nil, verdictError(contract.MayHaveRun) })
+	f.paths.Judge(false)
+	err := f.Serve(t.Context(), request(once), &fakeCaller{})
+	if contract.VerdictOf(err) != contract.MayHaveRun || len(b.offers) != 1 {
+		t.Errorf("error %v after %d offers, want one offer, and that the request may have run", err, len(b.offers))
+	}
+}
+
+// A request that another instance has handed over is charged there, and handed to nobody else.
+func TestRequestIsHandedOverOnce(t *testing.T) {
+	f, b := newHelpedFixture(nil)
+	f.paths.Judge(false)
+	req := request(once)
+	req.HandedOver = true
+	err := f.Serve(t.Context(), req, &fakeCaller{})
+	if !errors.Is(err, ErrDeclined) || contract.VerdictOf(err) != contract.NotRun || len(b.offers) != 0 || f.quotas.taken != 0 {
+		t.Errorf("error %v, %d offers, %v charged; want it declined without any", err, len(b.offers), f.quotas.taken)
+	}
+}
+
+// Servers could not be reached though the paths are not known to be lost yet: the third try is
+// another instance.
+func TestRequestIsHandedOverAfterUnreachedServers(t *testing.T) {
+	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(b.fakeBackend.attempts) != unreachedServers || len(b.offers) != 1 {
+		t.Errorf("%d attempts and %d offers, want %d and one", len(b.fakeBackend.attempts), len(b.offers), unreachedServers)
+	}
+}
+
+// A pool whose servers this instance does not reach, one by one: its requests are handed over,
+// with as many attempts as are left.
+func TestRequestToUnreachedPoolIsHandedOver(t *testing.T) {
+	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	for _, s := range f.Snapshot().Servers["p"] {
+		f.paths.Failed(s.ID, reach.Silent, time.Now())
+	}
+	if err := f.Serve(t.Context(), request(idempotent), &fakeCaller{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(b.fakeBackend.attempts) != 0 || !slices.Equal(b.attempts, []int{2}) {
+		t.Errorf("%d attempts, handed over with %v left, want none and 2", len(b.fakeBackend.attempts), b.attempts)
+	}
+}
+
+// A request that waits at a server when the paths are lost goes to another instance if it may
+// be repeated.
+func TestWaitingRequestIsHandedOverWhenPathsAreLost(t *testing.T) {
+	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	b.script = func(_ int, ctx context.Context, _ *Attempt) (*Answer, error) {
+		f.paths.Judge(false)
+		<-ctx.Done()
+		return nil, contract.Unavailable(contract.MayHaveRun, "no answer", context.Cause(ctx))
+	}
+	caller := &fakeCaller{}
+	if err := f.Serve(t.Context(), request(idempotent), caller); err != nil || caller.body.String() != "answer" {
+		t.Errorf("answer %q, error %v, want that of the other instance", caller.body.String(), err)
+	}
+	if !slices.Equal(b.attempts, []int{1}) {
+		t.Errorf("handed over with %v attempts left, want 1", b.attempts)
+	}
+}
+
+// 300 instances hand requests over: no helper gets a multiple of the others' share.
+func TestHelpersShareWhatIsHandedOver(t *testing.T) {
+	var helpers []Helper
+	for n := range 60 {
+		helpers = append(helpers, Helper{Name: string(rune('A' + n)), Zone: "z"})
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	count := make(map[string]int)
+	const requests = 6000
+	for range requests {
+		chosen := chooseHelpers(helpers, "z", func(string) bool { return false }, random)
+		count[chosen[0].Name]++
+	}
+	for name, n := range count {
+		if mean := requests / len(helpers); n > 2*mean || n < mean/2 {
+			t.Errorf("helper %s is chosen %d times, the mean is %d", name, n, mean)
+		}
+	}
+}
+
+// A server that this instance does not reach is not chosen while it reaches others.
+func TestUnreachedServerIsNotChosen(t *testing.T) {
+	f := newFixture(5, func(int, context.Context, *Attempt) (*Answer, error) { return ok("answer"), nil })
+	var reached machine.ID
+	for n, s := range f.Snapshot().Servers["p"] {
+		if n == 0 {
+			reached = s.ID
+			continue
+		}
+		f.paths.Failed(s.ID, reach.Silent, time.Now())
+	}
+	for range 20 {
+		if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if slices.ContainsFunc(f.backend.attempts, func(a Attempt) bool { return a.Server.ID != reached }) {
+		t.Error("a server that is not reached was chosen")
+	}
+}
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
 	ended, err := checker.HasEnded(ctx, server)
-	ended = ended && err == nil
+	ended = ended && err == nil && s.reachesAnother(checker, server)
 	s.ends.finish(check, ended, time.Now())
 	s.logEnd(server, ended, err)
 	return ended
@@ -128,7 +128,7 @@
 	if r.answered || r.ctx.Err() != nil || contract.VerdictOf(err) != contract.MayHaveRun {
 		return
 	}
-	if errors.Is(err, errFirstByteTimeout) {
+	if errors.Is(err, errFirstByteTimeout) || errors.Is(err, errPathsLost) {
 		return // silent servers may not have ended, and asking them takes time
 	}
 	if !r.server.isServing(server) || !r.server.hasEnded(server) {
--- a/internal/serve/loss_test.go
+++ b/internal/serve/loss_test.go
@@ -14,20 +14,35 @@
 	"kumquatyard/internal/quarantine"
 )
 
-// endingBackend breaks off each attempt and says whether its server has ended.
+// endingBackend breaks off each attempt and says whether the server of the last one, or s0, has
+// ended; the others serve, unless this instance reaches none.
 type endingBackend struct {
 	fakeBackend
 	ended bool
 	err   error
+	// isCut is set if all servers refuse the connections of this instance.
+	isCut bool
 	asked atomic.Int64
 }
 
-func (b *endingBackend) HasEnded(context.Context, *fleet.Server) (bool, error) {
+func (b *endingBackend) HasEnded(_ context.Context, s *fleet.Server) (bool, error) {
+	if !b.isLast(s) {
+		return b.isCut, nil
+	}
 	b.asked.Add(1)
 	time.Sleep(5 * time.Millisecond)
 	return b.ended, b.err
 }
 
+func (b *endingBackend) isLast(s *fleet.Server) bool {
+	b.fakeBackend.mu.Lock()
+	defer b.fakeBackend.mu.Unlock()
+	if len(b.attempts) == 0 {
+		return s.ID == "s0"
+	}
+	return s.ID == b.attempts[len(b.attempts)-1].Server.ID
+}
+
 func newEndingFixture(b *endingBackend) *fixture {
 	f := newFixture(20, nil)
 	b.script = func(int, context.Context, *Attempt) (*Answer, error) { return truncatedAfter(""), nil }
@@ -111,6 +126,17 @@
 	}
 }
 
+// An instance behind a cut that refuses connections: the requests that broke off there are sound,
+// and their servers have not ended (issue 30, RECOVER).
+func TestRefusalByAllServersIsNoEnd(t *testing.T) {
+	b := &endingBackend{ended: true, isCut: true}
+	f := newEndingFixture(b)
+	loseServers(t, f, 7)
+	if f.holds(7) || len(f.Quarantine.Evidence(true, time.Now())) > 0 {
+		t.Error("refused connections count as ends of servers, although this instance reaches none")
+	}
+}
+
 // All requests that break off at a server ask once whether it has ended.
 func TestServerIsAskedOnce(t *testing.T) {
 	b := &endingBackend{ended: true}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -41,3 +41,8 @@
 	servedTotal.Inc()
 	requestSeconds.Update(time.Since(r.req.Arrived).Seconds())
 }
+
+// countHandOver counts an offer of a request to another instance.
+func countHandOver(outcome string, err error) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`kumquat_serve_handovers_total{outcome=%q,failed="%t"}`, outcome, err != nil)).Inc()
+}
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -49,6 +49,15 @@
 	return wait + time.Duration(rand.Int64N(int64(min(wait, maxRetryJitter))))
 }
 
+// refuseWithoutPath returns the refusal of a request while this instance reaches no server and
+// no other instance takes it.
+func (r *run) refuseWithoutPath() error {
+	return &contract.Error{
+		Kind: contract.KindUnavailable, Verdict: contract.NotRun, RetryAfter: r.retryAfter(retryAfterNoServer),
+		Message: "this instance reaches no server, and no other instance takes the request", Err: ErrDeclined,
+	}
+}
+
 // logRefused logs and counts a request that was refused without a server's answer,
 // with the inputs of the decision.
 func (s *Server) logRefused(req *Request, err *contract.Error, inputs logrus.Fields) {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -44,7 +44,11 @@
 	lastCandidate candidate
 	// mayHaveRun is set when an attempt's outcome is unknown, and ran when a server
 	// is known to have run the request.
-	mayHaveRun   bool
+	mayHaveRun bool
+	// unreached counts the servers that the request could not be sent to, and handedOver is set
+	// once it was offered to other instances.
+	unreached    int
+	handedOver   bool
 	ran          bool
 	startCounted bool
 	// retryGranted is set when the retry budget has already granted the next attempt.
@@ -86,7 +90,9 @@
 		r.parts = r.req.Prompt.SharedParts()
 	}
 	r.pool = r.req.Route.PickPool(r.poolDraw())
-	r.server.Budget.Request(r.pool, time.Now())
+	if !r.req.HandedOver {
+		r.server.Budget.Request(r.pool, time.Now())
+	}
 	if err := r.resolveOrigin(); err != nil {
 		return r.fail(err)
 	}
@@ -99,7 +105,20 @@
 // makeAttempts makes attempts until the request is answered, refused or truncated.
 func (r *run) makeAttempts() error {
 	for {
+		if r.mustHandOver() && r.mayHandOver() {
+			if handled, err := r.handOver(); handled {
+				return r.endHandedOver(err)
+			}
+		}
+		if r.server.paths.Lost() {
+			return r.fail(r.refuseWithoutPath())
+		}
 		choice, err := r.choose()
+		if r.lacksServer(choice, err) && r.mayHandOver() {
+			if handled, err := r.handOver(); handled {
+				return r.endHandedOver(err)
+			}
+		}
 		if err != nil {
 			return r.fail(err)
 		}
@@ -230,7 +249,7 @@
 		r.retryGranted = false
 		return true
 	}
-	return r.attempts < max(r.req.Route.MaxAttempts, 1) && r.server.Budget.Take(r.pool, time.Now())
+	return r.attempts < r.req.MaxAttempts() && r.server.Budget.Take(r.pool, time.Now())
 }
 
 // fail ends the request without a complete answer and returns its error.
@@ -267,6 +286,9 @@
 	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
 		out.Kind = contract.KindDeadline
 	}
+	if r.req.HandedOver && r.unreached > 0 && out.Verdict == contract.NotRun {
+		out.Err = errors.Join(out.Err, ErrDeclined)
+	}
 	if out.RetryAfter == 0 && out.Verdict == contract.NotRun {
 		out.RetryAfter = retryAfterNoServer
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -60,6 +60,8 @@
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
+	// Helpers returns the other instances; nil if there are none.
+	Helpers func() []Helper
 	// MarkLeaving is called with a server whose answer says that it is leaving; may be
 	// nil.
 	MarkLeaving func(*fleet.Server)
@@ -81,7 +83,9 @@
 	// of probes.
 	paths   *reach.Watch
 	probing atomic.Bool
-	ends    endChecks
+	// declined holds the instances that do not serve requests of this one at present.
+	declined declinedHelpers
+	ends     endChecks
 }
 
 // ejectionSettings eject a failing server for seconds only, since servers are
@@ -128,13 +132,16 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	r := &run{server: s, ctx: ctx, req: req, caller: caller}
+	if req.HandedOver {
+		return r.serve()
+	}
 	charge := quotaCost(req)
 	if wait, ok := s.Quotas.Take(req.Workspace, charge, rand.Float64(), req.Arrived); !ok {
 		err := contract.Refusal(contract.KindOverloaded, wait, "the workspace's quota is used up")
 		s.logRefused(req, err, logrus.Fields{"amount": charge, "wait_ms": wait.Milliseconds()})
 		return err
 	}
-	r := &run{server: s, ctx: ctx, req: req, caller: caller}
 	err := r.serve()
 	if !r.ran && !r.mayHaveRun {
 		s.Quotas.Refund(req.Workspace, charge, time.Now())
@@ -179,8 +186,11 @@
 // clearSuspicion readmits a server that answered.
 func (s *Server) clearSuspicion(id machine.ID) { s.suspects.Delete(id) }
 
-// isSuspected reports whether the server is ejected or suspected.
+// isSuspected reports whether the server is ejected, suspected or not reached.
 func (s *Server) isSuspected(id machine.ID, now time.Time) bool {
+	if s.paths.IsDown(id) {
+		return true
+	}
 	if ejected := s.ejected.Load(); ejected != nil && (*ejected)[id] {
 		return true
 	}
@@ -224,6 +234,7 @@
 	isKnown := func(id machine.ID) bool { _, ok := known[id]; return ok }
 	s.Predictor.Retain(isKnown)
 	s.backoffs.retain(isKnown)
+	s.paths.Retain(isKnown)
 	s.Limits.Retain(isKnown, now)
 	s.suspects.Range(func(id, _ any) bool {
 		if !isKnown(id.(machine.ID)) {
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -41,6 +41,13 @@
 	// caller resumes; empty for a new stream.
 	Resumes string
 
+	// HandedOver is set if another instance has handed the request over, which has charged it
+	// and hands it to nobody else.
+	HandedOver bool
+	// AttemptLimit is the number of servers to which a request that was handed over may still be
+	// sent; otherwise the route's MaxAttempts counts.
+	AttemptLimit int
+
 	Arrived time.Time
 	// Deadline is when the caller stops waiting, and Timeout when the route requires
 	// the final answer. Zero means no limit.
@@ -48,6 +55,14 @@
 	Timeout  time.Time
 }
 
+// MaxAttempts returns the number of servers to which the request may be sent.
+func (r *Request) MaxAttempts() int {
+	if r.HandedOver && r.AttemptLimit > 0 {
+		return r.AttemptLimit
+	}
+	return max(r.Route.MaxAttempts, 1)
+}
+
 // IsResumption reports whether the caller resumes a stream.
 func (r *Request) IsResumption() bool { return r.LastEventID != "" }
 
