--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -47,7 +47,7 @@
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
 	r.answerBegun, r.framing, r.incompleteBytes = true, answer.Framing, 0
-	r.rateLimit = answer.RateLimit
+	r.rateLimit, r.brittle = answer.RateLimit, answer.Brittle
 	s.heed(answer, c.server, r.req.ID, r.sentAt)
 	if answer.Load != nil {
 		s.Predictor.RecordServerReport(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -77,6 +77,8 @@
 	incompleteBytes int
 	// rateLimit is what the last answer said about the rate of requests that its server takes.
 	rateLimit ratelimit.Limit
+	// brittle is set if the server of the last answer is brittle.
+	brittle bool
 	// sentAt is when the current attempt was about to be sent; zero before.
 	sentAt time.Time
 	// handle names the KV cache that the next attempt continues with.
@@ -319,6 +321,9 @@
 	if r.incompleteBytes > 0 {
 		f["incomplete_event_bytes"] = r.incompleteBytes
 	}
+	if r.brittle {
+		f["server_brittle"] = true
+	}
 	if r.rateLimit.Kind == ratelimit.Limited {
 		f["server_limit_per_s"] = r.rateLimit.PerSecond
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -142,6 +142,9 @@
 	// RetryAfter is how long the server wants no further requests; 0 when it did not say
 	// so.
 	RetryAfter time.Duration
+	// Brittle is set if the server states that it falls over when it has to turn many requests
+	// away for want of room.
+	Brittle bool
 	// RateLimit is the rate of requests that the server takes from all instances.
 	RateLimit ratelimit.Limit
 }
