brittle-servers: the instances share the slots of servers that fall over when they turn requests away

Servers may say that they are brittle (Server-Brittle): one that has to turn many requests away in a second falls over, and the others get its load.

Cause: nothing read it. Class: a capacity that belongs to a server is tried by each instance as if it were alone (as for the rate that a server names). internal/brittle: the belief is one of a pool, told to all instances. Slots are divided among the instances by rendezvous hashing: the sum is the room of the server, whatever the instances know of each other's requests, also those that are at a server from before. A server that turned a request away is left alone for a second by that instance. Without room a request waits at the instance for up to 60 ms and is refused then, with a spread Retry-After. How instances are counted is shared with internal/ratelimit now (rendezvous.Members).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/conc"
 
+	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/clock"
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
@@ -141,6 +142,8 @@
 	quarantine *quarantine.Tracker
 	// limits holds the limits of request rates that servers name.
 	limits *ratelimit.Tracker
+	// brittle shares the room of servers that fall over when they turn requests away.
+	brittle *brittle.Tracker
 	// origins knows which versions of the servers' software began streams.
 	origins  *origin.Tracker
 	core     *serve.Server
@@ -185,6 +188,7 @@
 		demand:      demand.New(),
 		quarantine:  quarantine.New(o.Log),
 		limits:      ratelimit.New(o.Settings.Name, o.Log),
+		brittle:     brittle.New(o.Settings.Name, o.Log),
 		feed:        make(chan follow.Batch, feedBuffer),
 		incarnation: uint64(now.UnixMilli()),
 	}
@@ -197,14 +201,15 @@
 	})
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Origins: i.origins, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
 		Self: i.self(), Quotas: i.levels, Collect: i.state, CollectUsage: i.usageCounts,
 		Apply: i.apply, ApplyUsage: i.applyUsage, ApplyChanges: i.receiveChanges,
 		Evidence: i.quarantine.Evidence, ApplyEvidence: i.quarantine.Merge,
-		Limits: i.limits.Messages, ApplyLimits: i.limits.Merge, Log: o.Log,
+		Limits: i.limits.Messages, ApplyLimits: i.limits.Merge,
+		Brittle: i.brittle.Messages, ApplyBrittle: i.brittle.Merge, Log: o.Log,
 	})
 	i.follower = i.newFollower()
 	return i
@@ -407,6 +412,7 @@
 	}
 	now := time.Now()
 	i.limits.SetInstances(names, now)
+	i.brittle.SetInstances(names, now)
 	i.setInstances(i.exchange.InstanceCount(now))
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -58,7 +58,11 @@
 	// ApplyLimits adds what another one knows.
 	Limits      func(now time.Time) []*pb.ServerLimit
 	ApplyLimits func(limits []*pb.ServerLimit, now time.Time)
-	Log         *logrus.Entry
+	// Brittle returns what this instance is to tell of brittle pools, and ApplyBrittle adds
+	// what another one knows.
+	Brittle      func(now time.Time) []*pb.BrittlePool
+	ApplyBrittle func(pools []*pb.BrittlePool, now time.Time)
+	Log          *logrus.Entry
 }
 
 // Exchange sends and receives messages. It is safe for concurrent use.
@@ -205,6 +209,7 @@
 	receivedTotal.Inc()
 	e.options.ApplyEvidence(message.GetParts(), now)
 	e.options.ApplyLimits(message.GetLimits(), now)
+	e.options.ApplyBrittle(message.GetBrittle(), now)
 }
 
 // handle passes the content of a message on. It returns false if the message is invalid.
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -87,9 +87,9 @@
 	if own != nil {
 		e.applyFleet(own, now)
 	}
-	evidence, limits := e.options.Evidence(len(sums) > 0, now), e.options.Limits(now)
+	evidence, limits, brittle := e.options.Evidence(len(sums) > 0, now), e.options.Limits(now), e.options.Brittle(now)
 	for _, d := range due {
-		d.message.Parts, d.message.Limits = evidence, limits
+		d.message.Parts, d.message.Limits, d.message.Brittle = evidence, limits, brittle
 		e.send(d)
 	}
 	if len(usage) > 0 {
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -10,8 +10,6 @@
 package ratelimit
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +33,6 @@
 	unknownRetention = 10 * time.Second
 	// maxServers bounds the servers of which limits are kept.
 	maxServers = 4096
-	// instanceRetention is how long an instance counts that is not listed any more: entries
-	// may be missing for a time after the store was away.
-	instanceRetention = 10 * time.Second
 	// maxReturnTime bounds the time after which refused callers may return.
 	maxReturnTime = 5 * time.Second
 )
@@ -77,19 +72,12 @@
 // Tracker holds the limits that servers named and this instance's shares of them. It is safe
 // for concurrent use.
 type Tracker struct {
-	log  *logrus.Entry
-	self string
+	log *logrus.Entry
 
 	mu      sync.Mutex
 	servers map[Incarnation]*limited
-	// instances are hashes of the names of all instances, this one first, and generation
-	// counts their changes. There are none until they are known.
-	instances  []uint64
-	generation int
-	// listed are the names of the listed instances, and missingSince holds when the others
-	// that count were found missing from the list.
-	listed       []string
-	missingSince map[string]time.Time
+	// instances are all instances; none until they are known.
+	instances *rendezvous.Members
 	// returns holds, for each pool, when the caller may return that was refused last.
 	returns map[string]time.Time
 	// limits is the number of servers with a limit: without any, requests take no lock.
@@ -108,43 +96,14 @@
 // New returns a Tracker of the instance with the given name. It leaves servers with a limit
 // alone until SetInstances is called.
 func New(self string, log *logrus.Entry) *Tracker {
-	return &Tracker{log: log, self: self, servers: make(map[Incarnation]*limited), returns: make(map[string]time.Time), missingSince: make(map[string]time.Time)}
+	return &Tracker{log: log, instances: rendezvous.NewMembers(self), servers: make(map[Incarnation]*limited), returns: make(map[string]time.Time)}
 }
 
 // SetInstances sets the names of the listed instances, with or without this one.
 func (t *Tracker) SetInstances(names []string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, name := range t.listed {
-		t.missingSince[name] = now
-	}
-	for _, name := range names {
-		delete(t.missingSince, name)
-	}
-	t.listed = names
-	t.countInstances()
-}
-
-// expireInstances drops the instances that have been missing for long. It is called with mu
-// held.
-func (t *Tracker) expireInstances(now time.Time) {
-	before := len(t.missingSince)
-	maps.DeleteFunc(t.missingSince, func(_ string, since time.Time) bool { return now.Sub(since) >= instanceRetention })
-	if len(t.missingSince) < before {
-		t.countInstances()
-	}
-}
-
-// countInstances sets the instances that count: this one, and those that are listed or have
-// been missing for a short time. It is called with mu held.
-func (t *Tracker) countInstances() {
-	t.instances = []uint64{xxhash.Sum64String(t.self)}
-	for _, name := range slices.AppendSeq(slices.Clone(t.listed), maps.Keys(t.missingSince)) {
-		if name != t.self {
-			t.instances = append(t.instances, xxhash.Sum64String(name))
-		}
-	}
-	t.generation++
+	t.instances.Set(names, now)
 }
 
 // Observe records what an answer of a server said.
@@ -198,9 +157,9 @@
 // with mu held.
 func (t *Tracker) update(server Incarnation, s *limited, now time.Time) {
 	s.bucket.refill(now)
-	if s.generation != t.generation {
-		s.generation = t.generation
-		s.bucket.setShare(shareOf(s.Limit.PerSecond, rankOf(t.instances, server), len(t.instances)))
+	if s.generation != t.instances.Generation() {
+		s.generation = t.instances.Generation()
+		s.bucket.setShare(shareOf(s.Limit.PerSecond, t.instances.Rank(server.hash()), t.instances.Len()))
 	}
 }
 
@@ -276,7 +235,7 @@
 	if perSecond == 0 {
 		return maxReturnTime
 	}
-	interval := time.Duration(float64(max(len(t.instances), 1)) / perSecond * float64(time.Second))
+	interval := time.Duration(float64(max(t.instances.Len(), 1)) / perSecond * float64(time.Second))
 	if wait >= maxReturnTime {
 		wait = interval // another instance may have a share
 	}
@@ -293,7 +252,7 @@
 func (t *Tracker) Retain(known func(machine.ID) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expireInstances(now)
+	t.instances.Expire(now)
 	for server, s := range t.servers {
 		age := now.Sub(s.AnsweredAt)
 		if s.Limit.Kind == Limited && (known(server.ID) || age < unknownRetention) || s.Limit.Kind == Unlimited && age < endedRetention {
@@ -310,7 +269,7 @@
 func (t *Tracker) logChange(server Incarnation, before Limit, o Observation, source string, now time.Time) {
 	changesTotal.Inc()
 	entry := t.log.WithFields(logrus.Fields{
-		"event": "server_limit", "server": server.ID, "source": source, "age_ms": now.Sub(o.AnsweredAt).Milliseconds(), "instances": len(t.instances),
+		"event": "server_limit", "server": server.ID, "source": source, "age_ms": now.Sub(o.AnsweredAt).Milliseconds(), "instances": t.instances.Len(),
 	})
 	if before.Kind == Limited {
 		entry = entry.WithField("former_per_s", before.PerSecond)
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -1,10 +1,6 @@
 package ratelimit
 
-import (
-	"time"
-
-	"kumquatyard/internal/rendezvous"
-)
+import "time"
 
 const (
 	// minPerSecond is the least rate that is used, in requests per second: without any
@@ -36,19 +32,6 @@
 	return share{perSecond / float64(holders), burst / float64(holders)}
 }
 
-// rankOf returns the place of the first of the instances when they are ordered by their
-// rendezvous hashes for a server.
-func rankOf(instances []uint64, server Incarnation) int {
-	key := server.hash()
-	rank := 0
-	for _, i := range instances {
-		if rendezvous.Score(i, key) > rendezvous.Score(instances[0], key) {
-			rank++
-		}
-	}
-	return rank
-}
-
 // bucket is a token bucket with an instance's share. It starts empty: what was sent before
 // the limit was known counts against it too.
 type bucket struct {
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -33,6 +33,7 @@
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
 	defer func() { job.Done(time.Now()) }()
 	r.beginStream(c.server)
+	defer r.leaveRoom(c.server)
 	wait := s.paths.Begin(c.server.ID, abort, time.Now())
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
--- a/internal/serve/backoff.go
+++ b/internal/serve/backoff.go
@@ -69,15 +69,19 @@
 
 // accepts reports whether a server accepts a request now.
 func (s *Server) accepts(server *fleet.Server, now time.Time) bool {
-	return s.backoffs.wanted(server, now) && s.Limits.Allows(ratelimit.IncarnationOf(server), now)
+	return s.backoffs.wanted(server, now) && s.Limits.Allows(ratelimit.IncarnationOf(server), now) && s.Brittle.Allows(server, now)
 }
 
 // heed records what an answer says about further requests to its server. askedAt is when
 // the request was sent.
 func (s *Server) heed(a *Answer, server *fleet.Server, request string, askedAt time.Time) {
-	if isOwn := a.Authentic || a.Refused || a.RateLimit.Kind == ratelimit.Limited; isOwn && !a.Misdirected {
+	if isOwn := a.Authentic || a.Refused || a.Brittle || a.RateLimit.Kind == ratelimit.Limited; isOwn && !a.Misdirected {
+		s.Brittle.Observe(server.Pool, a.Brittle, askedAt, time.Now())
 		s.Limits.Observe(ratelimit.IncarnationOf(server), ratelimit.Observation{Limit: a.RateLimit, AskedAt: askedAt, AnsweredAt: time.Now()})
 	}
+	if a.Refused && !a.Misdirected {
+		s.Brittle.TurnedAway(server, time.Now())
+	}
 	if a.Leaving && !s.backoffs.get(server).leaving {
 		s.backoffs.set(server, func(b *backoff) { b.leaving = true })
 		s.Log.WithFields(logrus.Fields{"event": "server_leaving", "server": server.ID, "request": request, "born": server.StartedAtMs}).Info("the server's answer says that it is leaving; it gets no more requests")
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -246,7 +246,7 @@
 
 // isWanted reports, right before the request is sent, whether the server accepts requests
 // and neither the request nor a part of its prompt was quarantined meanwhile. If so, the
-// request is charged to the server's limit.
+// request is charged to the server's limit, and to its room until leaveRoom is called.
 func (r *run) isWanted(server *fleet.Server) bool {
 	now := time.Now()
 	if r.refuseQuarantined(now) != nil {
@@ -255,6 +255,19 @@
 	if !r.server.backoffs.wanted(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
 		return false
 	}
+	if !r.server.Brittle.Take(server, now) {
+		r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
+		return false
+	}
+	r.hasRoom = true
 	r.sentAt = now
 	return true
 }
+
+// leaveRoom ends what isWanted charged to the server's room.
+func (r *run) leaveRoom(server *fleet.Server) {
+	if r.hasRoom {
+		r.hasRoom = false
+		r.server.Brittle.Release(server)
+	}
+}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -21,6 +21,9 @@
 	// retryAfterNoServer is the time after which a caller may retry when no server
 	// accepts its request.
 	retryAfterNoServer = time.Second
+	// brittleRetryAfter is the time after which a caller may retry when there is no room at
+	// servers that must not be tried.
+	brittleRetryAfter = 300 * time.Millisecond
 	// unreachableTries is the number of servers that are tried as long as all of them
 	// are unreachable and nothing was sent.
 	unreachableTries = 4
@@ -79,6 +82,8 @@
 	rateLimit ratelimit.Limit
 	// brittle is set if the server of the last answer is brittle.
 	brittle bool
+	// hasRoom is set while the request counts against the room of the current server.
+	hasRoom bool
 	// sentAt is when the current attempt was about to be sent; zero before.
 	sentAt time.Time
 	// handle names the KV cache that the next attempt continues with.
@@ -169,6 +174,9 @@
 		return s.Predictor.Predict(r.pool, id, r.req.Prompt, assumed, now)
 	}
 	best, ok := choose(p)
+	if !ok {
+		best, ok = r.awaitRoom(p, now)
+	}
 	if !ok {
 		return best, r.refuseWithoutServer(p.servers, now)
 	}
@@ -197,6 +205,10 @@
 		wait := r.server.Limits.ReturnIn(r.pool, limited, now)
 		return contract.Refusal(contract.KindUnavailable, r.retryAfter(wait), "the servers of the pool are at the limits of their request rates")
 	}
+	if r.server.Brittle.IsBrittle(r.pool) {
+		r.recordDemand(&candidate{}, true, now)
+		return contract.Refusal(contract.KindUnavailable, r.retryAfter(brittleRetryAfter), "the servers of the pool are brittle, and there is no room for more requests")
+	}
 	return contract.Refusal(contract.KindUnavailable, retryAfterNoServer, "no server of the pool takes requests")
 }
 
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
@@ -57,6 +58,9 @@
 	// Limits holds the limits of request rates that servers name; New creates one for a
 	// single instance if it is nil.
 	Limits *ratelimit.Tracker
+	// Brittle shares the room of servers that fall over when they turn requests away; New creates
+	// one for a single instance if it is nil.
+	Brittle *brittle.Tracker
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
@@ -99,6 +103,10 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(o.Log)
 	}
+	if o.Brittle == nil {
+		o.Brittle = brittle.New("", o.Log)
+		o.Brittle.SetInstances(nil, time.Now())
+	}
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{Log: o.Log})
 	}
@@ -236,6 +244,7 @@
 	s.backoffs.retain(isKnown)
 	s.paths.Retain(isKnown)
 	s.Limits.Retain(isKnown, now)
+	s.Brittle.Retain(isKnown, now)
 	s.suspects.Range(func(id, _ any) bool {
 		if !isKnown(id.(machine.ID)) {
 			s.suspects.Delete(id)
