--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -394,3 +394,29 @@
 		t.Error("a request that is not suspected is held back")
 	}
 }
+
+// Many different requests end servers one after the other: the number that is held back is
+// bounded, and those that were first stay so.
+func TestQuarantinedRequestsAreBounded(t *testing.T) {
+	tr := newTracker()
+	const requests = maxQuarantinedRequests + 40
+	for identity := range uint64(requests) {
+		for n := range minServers {
+			tr.RecordLoss(Loss{
+				Server: fmt.Sprint("s", identity, "/", n), Request: fmt.Sprint("r", identity, "/", n), Identity: identity + 1,
+				SentAt: at(1000*n + int(identity)),
+			}, at(1000*n+int(identity)+500))
+		}
+	}
+	end := at(1000*minServers + requests + 5000)
+	tr.Expire(end)
+	held := 0
+	for identity := range uint64(requests) {
+		if _, ok := tr.QuarantinedRequest(identity+1, end); ok {
+			held++
+		}
+	}
+	if held != maxQuarantinedRequests {
+		t.Errorf("%d requests are held back, want %d of %d", held, maxQuarantinedRequests, requests)
+	}
+}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"kumquatyard/internal/gossip"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/rendezvous"
+	pb "kumquatyard/proto/kumquat/v1"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -214,3 +216,66 @@
 		t.Error("the end of a limit is kept for ever")
 	}
 }
+
+// The end of a limit is remembered: an earlier answer that is told late does not bring the limit
+// back.
+func TestEndedLimitDoesNotComeBack(t *testing.T) {
+	tr := alone()
+	tr.observe(limit(3), 20, 30)
+	tr.observe(Limit{}, 50, 60)
+	tr.Retain(func(machine.ID) bool { return true }, at(1000))
+	tr.observe(limit(3), 10, 40)
+	if tr.IsLimited(server) {
+		t.Error("an answer from before the end brought the limit back")
+	}
+}
+
+// Another instance's message names a rate that is not a number, or is negative.
+func TestRateThatIsNoRateIsNotTaken(t *testing.T) {
+	for _, rate := range []float64{math.NaN(), -1, math.Inf(-1)} {
+		tr := alone()
+		m := &pb.ServerLimit{Server: &pb.ServerIncarnation{Server: "s", StartedAtMs: 1, Address: "a"}, Limited: true, PerSecond: rate}
+		tr.Merge([]*pb.ServerLimit{m}, at(10))
+		if tr.IsLimited(server) {
+			t.Errorf("a rate of %g was taken for a limit", rate)
+		}
+	}
+}
+
+// A server lowers its limit: what was saved up at the old rate is not spent at the new one.
+func TestSavedRequestsFallWithTheShare(t *testing.T) {
+	tr := alone()
+	tr.observe(limit(50), 0, 0)
+	if !tr.Allows(server, at(10_000)) {
+		t.Fatal("no request is allowed at 50 a second")
+	}
+	tr.observe(limit(1), 10_000, 10_010)
+	allowed := 0
+	for tr.Take(server, at(10_010)) {
+		allowed++
+	}
+	if most := int(shareOf(1, 0, 1).burst); allowed > most {
+		t.Errorf("%d requests at once after the limit fell to 1 a second, want at most %d", allowed, most)
+	}
+	full := bucket{share: share{50, 53}, tokens: 53, filledAt: at(0)}
+	full.setShare(share{1, 4})
+	if full.tokens != 4 {
+		t.Errorf("%g tokens after the share fell to a burst of 4", full.tokens)
+	}
+}
+
+// A server that takes no requests is still asked now and then: otherwise nobody would learn that
+// it takes some again.
+func TestServerWithoutARateIsAskedNowAndThen(t *testing.T) {
+	tr := alone()
+	tr.observe(limit(0), 0, 0)
+	asked := 0
+	for s := range 60 {
+		if tr.Take(server, at(1000*s)) {
+			asked++
+		}
+	}
+	if asked < 3 || asked > 7 {
+		t.Errorf("a server that takes no requests was asked %d times in a minute, want about one in ten seconds", asked)
+	}
+}
--- a/internal/serve/choose_test.go
+++ b/internal/serve/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -177,3 +178,20 @@
 		t.Errorf("%d of %d prompts went to an affinity server whose queue takes as long as the target, want none", n, requests)
 	}
 }
+
+// Few instances may use a server with a limit of its rate: where servers are sampled, it is
+// always among those that are compared.
+func TestSampleHasTheServersWithALimit(t *testing.T) {
+	var servers []*fleet.Server
+	for n := range 200 {
+		servers = append(servers, &fleet.Server{Server: machine.Server{ID: machine.ID(fmt.Sprint("s", n)), Pool: "p"}, Lifecycle: machine.Serving})
+	}
+	limited := servers[150]
+	for seed := range uint64(20) {
+		p := &placement{seed: seed, sample: 3, isLimited: func(s *fleet.Server) bool { return s == limited }}
+		sample := p.sampleServers(slices.Clone(servers), nil)
+		if !slices.Contains(sample, limited) || len(sample) > 4 {
+			t.Fatalf("seed %d: %d servers are compared, with the limited one: %v; want 3 and that one", seed, len(sample), slices.Contains(sample, limited))
+		}
+	}
+}
