--- a/internal/serve/version_test.go
+++ b/internal/serve/version_test.go
@@ -14,6 +14,14 @@
 	}
 }
 
+// breaksOnce answers the first attempt with two events and breaks it off; the others go on.
+func breaksOnce(n int, _ context.Context, _ *Attempt) (*Answer, error) {
+	if n == 0 {
+		return truncatedAfter(events(1, 2)), nil
+	}
+	return ok(events(3, 4)), nil
+}
+
 // resumption returns the request of a caller that resumes the stream of an earlier request
 // after an event.
 func resumption(id, of, lastEvent string) *Request {
@@ -26,12 +34,7 @@
 // the caller's text is of two versions (issue 30, ORDER).
 func TestBrokenStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	for range 40 {
-		f := newFixture(8, func(n int, _ context.Context, _ *Attempt) (*Answer, error) {
-			if n == 0 {
-				return truncatedAfter(events(1, 2)), nil
-			}
-			return ok(events(3, 4)), nil
-		})
+		f := newFixture(8, breaksOnce)
 		ofVersions(f, "v1", "v2", "v3", "v2")
 		c := &fakeCaller{}
 		if err := f.Serve(t.Context(), request(resumable), c); err != nil {
@@ -47,12 +50,7 @@
 // No server of the version that began a stream is left: the caller gets what there is and
 // can tell that the stream is incomplete (issue 30, ORDER).
 func TestStreamWithoutAServerOfItsVersionIsTruncated(t *testing.T) {
-	f := newFixture(4, func(n int, _ context.Context, _ *Attempt) (*Answer, error) {
-		if n == 0 {
-			return truncatedAfter(events(1, 2)), nil
-		}
-		return ok(events(3, 4)), nil
-	})
+	f := newFixture(4, breaksOnce)
 	ofVersions(f, "v1", "v2", "v3", "v4")
 	c := &fakeCaller{}
 	err := f.Serve(t.Context(), request(resumable), c)
@@ -65,12 +63,7 @@
 // version that began it may go on (issue 30, ORDER).
 func TestResumedStreamContinuesAtItsSoftwareVersion(t *testing.T) {
 	for range 40 {
-		f := newFixture(8, func(n int, _ context.Context, _ *Attempt) (*Answer, error) {
-			if n == 0 {
-				return truncatedAfter(events(1, 2)), nil
-			}
-			return ok(events(3, 4)), nil
-		})
+		f := newFixture(8, breaksOnce)
 		ofVersions(f, "v1", "v2", "v3", "v2")
 		first := request(resumable)
 		first.ID = "first"
