origin, serve, contract: state where it belongs, and conditions said once

When lists may be written again is the tracker's, not the record writer's; a condition returns itself; results that nothing named are unnamed. No behaviour changes.

--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -37,7 +37,7 @@
 }
 
 // ParseVerdict returns the verdict with a name on the wire.
-func ParseVerdict(name string) (v Verdict, ok bool) {
+func ParseVerdict(name string) (Verdict, bool) {
 	for v := NotRun; v <= Ran; v++ {
 		if v.String() == name {
 			return v, true
@@ -84,7 +84,7 @@
 func (k ErrorKind) String() string { return kindNames[k] }
 
 // ParseKind returns the kind with a name on the wire.
-func ParseKind(name string) (k ErrorKind, ok bool) {
+func ParseKind(name string) (ErrorKind, bool) {
 	for kind := KindInvalid; kind.String() != ""; kind++ {
 		if kind.String() == name {
 			return kind, true
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -43,13 +43,13 @@
 	ledger   ledger
 	versions *versions
 	writer   writer
+	// listsAfter is when lists may be written again; only Run uses it.
+	listsAfter time.Time
 }
 
 // New returns a Tracker.
 func New(o Options) *Tracker {
-	t := &Tracker{options: o, versions: newVersions()}
-	t.writer = writer{store: o.Store}
-	return t
+	return &Tracker{options: o, versions: newVersions(), writer: writer{store: o.Store}}
 }
 
 // MayBegin reports whether a server may begin a stream that can be resumed: its version is in
--- a/internal/origin/write.go
+++ b/internal/origin/write.go
@@ -58,12 +58,12 @@
 
 // writeLists writes the lists that have to change.
 func (t *Tracker) writeLists(ctx context.Context, pools []string, now time.Time) {
-	if !t.options.WritesLists() || now.Before(t.writer.listsAfter) {
+	if !t.options.WritesLists() || now.Before(t.listsAfter) {
 		return
 	}
 	for _, c := range t.versions.changes(pools, now) {
 		if err := t.writeList(ctx, c); err != nil {
-			t.writer.listsAfter = time.Now().Add(conflictDelay)
+			t.listsAfter = time.Now().Add(conflictDelay)
 			if !errors.Is(err, store.ErrConflict) {
 				t.options.Log.WithError(err).WithFields(logrus.Fields{"event": "versions_unwritten", "pool": c.pool}).Info("the list of a pool's versions could not be written; writing it again")
 			}
@@ -128,8 +128,6 @@
 // writer writes records under leases of its own, which end some time after the streams.
 type writer struct {
 	store store.Store
-	// listsAfter is when lists may be written again.
-	listsAfter time.Time
 
 	mu       sync.Mutex
 	lease    store.Lease
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -83,10 +83,7 @@
 	if r.req.HandedOver || r.handedOver || r.headSent || r.ctx.Err() != nil || r.server.Helpers == nil {
 		return false
 	}
-	if r.attempts >= r.req.MaxAttempts() || (r.mayHaveRun && !r.req.Route.MayRepeat()) {
-		return false
-	}
-	return true
+	return r.attempts < r.req.MaxAttempts() && (!r.mayHaveRun || r.req.Route.MayRepeat())
 }
 
 // mustHandOver reports whether this instance is known not to reach servers.
