placementduty: the test of orders in flight waits for the order, not for its log line

The test stopped the holder as soon as it had logged an assignment; the order is sent after that line, and a holder that is stopped between the two sends none, as it should.

Shown on a scratch copy: with 100 ms between the log line and the order, the old test fails with the same message each time and the new one passes. What the test demands of the successor is unchanged.

--- a/internal/placementduty/fixture_test.go
+++ b/internal/placementduty/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,9 +159,12 @@
 	// until the gate opens.
 	late     bool
 	inFlight *conc.WaitGroup
+	// sends is how often Send was called.
+	sends *atomic.Int32
 }
 
 func (h holderSender) Send(address string, o Order, timeout time.Duration) (int, error) {
+	h.sends.Add(1)
 	if h.late {
 		h.inFlight.Go(func() {
 			h.send.pass()
@@ -211,8 +215,10 @@
 	server.Models = []string{model}
 	return &holder{
 		name: name, gate: g, timing: testTiming,
-		fleet:  &fleet{server: server, loaded: []string{"other"}, live: []string{"first", "second"}, round: &gate{}},
-		sender: holderSender{network: z.network, holder: name, send: &gate{}, inFlight: &conc.WaitGroup{}},
+		fleet: &fleet{server: server, loaded: []string{"other"}, live: []string{"first", "second"}, round: &gate{}},
+		sender: holderSender{
+			network: z.network, holder: name, send: &gate{}, inFlight: &conc.WaitGroup{}, sends: &atomic.Int32{},
+		},
 	}
 }
 
--- a/internal/placementduty/placementduty_test.go
+++ b/internal/placementduty/placementduty_test.go
@@ -76,7 +76,7 @@
 	first.sender.late = true
 	first.sender.send.freeze()
 	z.start(first)
-	z.await("the first holder makes an assignment", func() bool { return first.logged("models assigned to engine") > 0 })
+	z.await("the first holder sends an order", func() bool { return first.sender.sends.Load() > 0 })
 	z.start(second)
 	first.cancel()
 	first.done.Wait()
