follow: the read of a large value delays no other change

Cause, of a class: a small urgent change waits for the transfer of a large one. Omitted values are now read beside the batches and applied when they arrive, unless a later change, a restore or a removal has overtaken them; a failed read is repeated without listing or reading all changes again.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/store"
@@ -65,8 +64,11 @@
 	ReplayFrom func(era uint64) store.Revision
 	Log        *logrus.Entry
 
+	// revision is the one up to which changes were applied, except values still to be read
+	// in omitted.
 	revision atomic.Pointer[store.Revision]
 	recent   recentChanges
+	omitted  omittedValues
 	// readAt is when the store last answered this instance or its relay.
 	readAt time.Time
 	// behind is set while changes are known to be missing.
@@ -107,9 +109,10 @@
 
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
-	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = retryFirst, retryMax
+	defer f.omitted.readers.Wait()
+	retry := newRetry()
 	for ctx.Err() == nil {
+		f.applyReads(ctx)
 		if f.awaitRelay(ctx) {
 			continue
 		}
@@ -182,8 +185,12 @@
 // allKeys is the prefix of all keys.
 const allKeys = ""
 
-// dispatch passes each change to the handlers of the prefixes that match its key.
+// dispatch passes each change to the handlers of the prefixes that match its key. A change
+// takes the place of an earlier one whose value is still to be read.
 func (f *Follower) dispatch(items []store.Item, now, expiryGraceUntil time.Time) {
+	for _, item := range items {
+		delete(f.omitted.pending, item.Key)
+	}
 	for _, p := range f.Subscriptions {
 		if matching := withPrefix(items, p.Prefix); len(matching) > 0 {
 			p.Handler.Change(matching, now, expiryGraceUntil)
@@ -262,6 +269,7 @@
 	f.storeUnreachable.Store(false)
 	f.revision.Store(&revision)
 	f.recent.reset(revision)
+	clear(f.omitted.pending)
 	for i, p := range f.Subscriptions {
 		p.Handler.Resync(lists[i], now, f.expiryGraceUntil(now))
 	}
@@ -319,8 +327,8 @@
 // is safe for concurrent use.
 func (f *Follower) StoreUnreachable() bool { return f.storeUnreachable.Load() }
 
-// Revision returns the revision up to which changes were applied. It is safe for
-// concurrent use.
+// Revision returns the revision up to which changes were applied, except large values that
+// are still being read. It is safe for concurrent use.
 func (f *Follower) Revision() store.Revision {
 	if revision := f.revision.Load(); revision != nil {
 		return *revision
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -109,6 +108,9 @@
 		return true
 	case b := <-f.Feed:
 		return f.applyBatch(ctx, b)
+	case item := <-f.omitted.read:
+		f.applyRead(ctx, item)
+		return true
 	case <-timer.C:
 	}
 	select {
@@ -119,9 +121,9 @@
 	}
 }
 
-// applyBatch applies a batch; it ignores one of an earlier era. It returns false when
-// changes before the batch are missing, as they are when the store was restored, or an
-// omitted value cannot be read.
+// applyBatch applies a batch, except values that it omits, which are read beside it; it
+// ignores a batch of an earlier era. It returns false when changes before the batch are
+// missing, as they are when the store was restored.
 func (f *Follower) applyBatch(ctx context.Context, b Batch) bool {
 	known := f.Revision()
 	if b.Revision.Era < known.Era {
@@ -132,12 +134,6 @@
 		f.behind = true
 		return false
 	}
-	items, err := f.unseenItems(ctx, b)
-	if err != nil {
-		f.Log.WithError(err).WithFields(logrus.Fields{"event": "feed_incomplete", "era": known.Era, "revision": known.Number}).Info("value that a relayed store change omits could not be read; reading the changes from the store")
-		f.behind = true
-		return false
-	}
 	now := time.Now()
 	f.behind = false
 	if now.Sub(b.ReadAt) < relayTimeout {
@@ -149,43 +145,47 @@
 	if b.Revision.After(known) {
 		f.revision.Store(&b.Revision)
 	}
-	f.recent.add(known, changesOf(items))
-	f.dispatch(items, b.ReadAt, later(f.expiryGraceUntil(now), b.ExpiryGraceUntil))
+	unseen := changesAfter(b.Changes, known)
+	f.recent.add(known, unseen)
+	f.dispatch(withValues(unseen), b.ReadAt, later(f.expiryGraceUntil(now), b.ExpiryGraceUntil))
+	for _, c := range lastOmitted(unseen) {
+		f.readOmitted(ctx, c)
+	}
 	return true
 }
 
-// unseenItems returns the changes after the known revision, with omitted values
-// read from the store.
-func (f *Follower) unseenItems(ctx context.Context, b Batch) ([]store.Item, error) {
-	var items []store.Item
-	for _, c := range b.Changes {
-		if !c.Revision.After(f.Revision()) {
-			continue
+// changesAfter returns the changes after a revision.
+func changesAfter(changes []Change, known store.Revision) []Change {
+	var after []Change
+	for _, c := range changes {
+		if c.Revision.After(known) {
+			after = append(after, c)
 		}
-		if c.ValueOmitted {
-			item, err := f.Store.Item(ctx, c.Key)
-			if err != nil {
-				return nil, fmt.Errorf("read key %s: %w", c.Key, err)
-			}
-			if item.Revision.Era != c.Revision.Era {
-				return nil, fmt.Errorf("read key %s: %w", c.Key, store.ErrRestored)
-			}
-			if item.Revision.IsZero() {
-				item.Removed, item.Revision = true, c.Revision
-			}
-			c.Item = item
+	}
+	return after
+}
+
+// withValues returns the changes whose values are not omitted.
+func withValues(changes []Change) []store.Item {
+	var items []store.Item
+	for _, c := range changes {
+		if !c.ValueOmitted {
+			items = append(items, c.Item)
 		}
-		items = append(items, c.Item)
 	}
-	return items, nil
+	return items
 }
 
-func changesOf(items []store.Item) []Change {
-	changes := make([]Change, 0, len(items))
-	for _, item := range items {
-		changes = append(changes, Change{Item: item})
+// lastOmitted returns the changes whose values are omitted and that are the last of their
+// keys.
+func lastOmitted(changes []Change) map[string]Change {
+	omitted := make(map[string]Change)
+	for _, c := range changes {
+		if delete(omitted, c.Key); c.ValueOmitted {
+			omitted[c.Key] = c
+		}
 	}
-	return changes
+	return omitted
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/follow/relay_property_test.go
+++ b/internal/follow/relay_property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 )
 
-// Batches are lost, repeated and reordered, the role changes, and the store is restored
+// Batches are lost, repeated and reordered, and omit values; the role changes, and the store is restored
 // from older copies of itself: the revision never decreases, and the follower ends with
 // the store's state.
 func TestRelayedStateConvergesToStore(t *testing.T) {
@@ -28,7 +28,8 @@
 				case 1:
 					h.remove(fmt.Sprintf("k%d", rapid.IntRange(0, 4).Draw(r, "key")))
 				case 2:
-					sent = append(sent, h.batch(uint64(rapid.IntRange(0, len(h.all())).Draw(r, "after"))))
+					b := h.batch(uint64(rapid.IntRange(0, len(h.all())).Draw(r, "after")))
+					sent = append(sent, omit(b, fmt.Sprintf("k%d", rapid.IntRange(0, 9).Draw(r, "omitted"))))
 				case 3:
 					if len(sent) > 0 {
 						feed <- sent[rapid.IntRange(0, len(sent)-1).Draw(r, "batch")]
@@ -52,6 +53,10 @@
 			if err := f.poll(t.Context()); err != nil {
 				r.Fatal(err)
 			}
+			for len(f.omitted.reading) > 0 {
+				time.Sleep(retryMax)
+				f.applyReads(t.Context())
+			}
 			if diff := cmp.Diff(h.state(), m.state); diff != "" {
 				r.Fatal(diff)
 			}
