peers, entry: a zone's relay sends large configurations too, compressed

Only values of 4 KB and more are left out if it does not fit; before, one that did not fit emptied the batch, or thousands of small values were left out one by one. The pause after a batch follows the link as well.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,8 +61,8 @@
 	follower *follow.Follower
 	// feed queues the store changes relayed by other instances.
 	feed chan follow.Batch
-	// relayedBytes is the number of bytes sent for the last relayed batch.
-	relayedBytes atomic.Int64
+	// relayTime is the time for which the last relayed batch fills the link, in nanoseconds.
+	relayTime atomic.Int64
 
 	reloadable  atomic.Pointer[ReloadableSettings]
 	incarnation uint64
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -8,14 +8,9 @@
 	pb "kumquatyard/proto/kumquat/v1"
 )
 
-const (
-	// maxRelayedBytes bounds the values in one relayed batch, so that it fits a
-	// datagram; instances read values that do not fit from the store.
-	maxRelayedBytes = 48 << 10
-	// feedBuffer is the number of batches queued for the follower; a batch that finds
-	// the queue full is dropped, as a lost datagram would be.
-	feedBuffer = 32
-)
+// feedBuffer is the number of batches queued for the follower; a batch that finds the queue
+// full is dropped, as a lost datagram would be.
+const feedBuffer = 32
 
 // storeRole returns how this instance reads the store at present.
 func (i *Instance) storeRole() follow.Role {
@@ -43,27 +38,19 @@
 	if !b.ExpiryGraceUntil.IsZero() {
 		m.LapseLeftUs = b.ExpiryGraceUntil.Sub(now).Microseconds()
 	}
-	remaining := maxRelayedBytes
 	for _, c := range b.Changes {
-		item := &pb.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision.Number, Removed: c.Removed}
-		if len(c.Value) > remaining {
-			item.Value, item.ValueOmitted = nil, true
-		}
-		remaining -= len(item.Value)
-		m.Items = append(m.Items, item)
+		m.Items = append(m.Items, &pb.StoreItem{Key: c.Key, Value: c.Value, ValueOmitted: c.ValueOmitted, Revision: c.Revision.Number, Removed: c.Removed})
 	}
-	i.relayedBytes.Store(int64(i.exchange.SendChanges(m)))
+	i.relayTime.Store(int64(i.exchange.SendChanges(m)))
 }
 
-// relayBytesPerSecond bounds the bandwidth used for relaying: half of a link of
-// 10 Mbit/s.
-const relayBytesPerSecond = 600 << 10
+// relayLinkShare is the fraction of its link that the relay may fill with changes.
+const relayLinkShare = 0.5
 
 // relayPause returns the time between two reads of the relay. It is longer after a
-// large batch, to keep within relayBytesPerSecond.
+// large batch, to keep within relayLinkShare.
 func (i *Instance) relayPause() time.Duration {
-	sending := time.Duration(i.relayedBytes.Load()) * time.Second / relayBytesPerSecond
-	return max(watchPauseBase, sending)
+	return max(watchPauseBase, time.Duration(float64(i.relayTime.Load())/relayLinkShare))
 }
 
 // receiveChanges queues a batch relayed by another instance for the follower.
--- /dev/null
+++ b/internal/peers/changes.go
@@ -0,0 +1,94 @@
+package peers
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"kumquatyard/internal/packed"
+	pb "kumquatyard/proto/kumquat/v1"
+)
+
+const (
+	// maxRelayTime bounds the time that the relay's link needs to send one batch of changes
+	// to all instances of the zone.
+	maxRelayTime = 250 * time.Millisecond
+	// defaultRelayMbps is assumed for a relay that does not know the bandwidth of its link.
+	defaultRelayMbps = 10
+	// maxChangesBytes bounds a batch of changes before compression.
+	maxChangesBytes = 4 << 20
+	// largeValueBytes is the size from which a value is omitted when a batch does not fit.
+	largeValueBytes = 4 << 10
+	// denseBytes is the size of a datagram from which changes are compressed more densely,
+	// which takes more processor time.
+	denseBytes = 4 << 10
+)
+
+// SendChanges sends changes of the store to the other instances of the zone, and returns
+// the time for which that fills the link.
+func (e *Exchange) SendChanges(changes *pb.StoreChanges) time.Duration {
+	conn := e.conn.Load()
+	e.mu.Lock()
+	zoneAddresses := e.zoneAddresses(time.Now())
+	e.mu.Unlock()
+	if conn == nil || len(zoneAddresses) == 0 {
+		return 0
+	}
+	data, err := e.encodeForZone(changes, len(zoneAddresses))
+	if err != nil {
+		e.options.Log.WithError(err).Error("store changes cannot be encoded; not relaying them to the other instances of the zone")
+		return 0
+	}
+	for _, address := range zoneAddresses {
+		sendDatagram(conn, data, address)
+	}
+	return e.linkTime(len(data) * len(zoneAddresses))
+}
+
+// encodeForZone returns the datagram of changes for a number of instances. If it is too large
+// for them, it omits large values, which each instance reads from the store; if it still is,
+// it announces the revision only, and each instance reads all changes from the store.
+func (e *Exchange) encodeForZone(changes *pb.StoreChanges, instances int) ([]byte, error) {
+	fits := func(data []byte) bool {
+		return len(data) <= maxDatagramBytes && proto.Size(changes) <= maxChangesBytes && e.linkTime(len(data)*instances) <= maxRelayTime
+	}
+	if data, err := encodeChanges(changes); err != nil || fits(data) {
+		return data, err
+	}
+	omitLargeValues(changes)
+	if data, err := encodeChanges(changes); err != nil || fits(data) {
+		return data, err
+	}
+	changes.After, changes.Items = changes.GetRevision(), nil
+	return encodeChanges(changes)
+}
+
+// omitLargeValues removes the values that have largeValueBytes or more.
+func omitLargeValues(changes *pb.StoreChanges) {
+	for _, item := range changes.GetItems() {
+		if len(item.GetValue()) >= largeValueBytes {
+			item.Value, item.ValueOmitted = nil, true
+		}
+	}
+}
+
+// encodeChanges returns the datagram of changes, compressed.
+func encodeChanges(changes *pb.StoreChanges) ([]byte, error) {
+	block, err := packed.Marshal(changes)
+	if err == nil && len(block) > denseBytes {
+		block, err = packed.MarshalDense(changes)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: block}})
+}
+
+// linkTime returns the time for which bytes fill this instance's link.
+func (e *Exchange) linkTime(bytes int) time.Duration {
+	mbps := e.options.Self.GetLinkMbps()
+	if mbps == 0 {
+		mbps = defaultRelayMbps
+	}
+	return time.Duration(float64(8*bytes) / (float64(mbps) * 1e6) * float64(time.Second))
+}
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -6,9 +6,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"kumquatyard/internal/packed"
 	"kumquatyard/internal/store"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -84,50 +81,6 @@
 	return store.Revision{Era: era, Number: sum.GetReplayRevision()}
 }
 
-const (
-	// maxRelayBytes bounds the bytes sent for one batch of changes to all instances of
-	// the zone: a quarter of a second at 10 Mbit/s. Each instance reads the changes of
-	// a larger batch from the store.
-	maxRelayBytes = 320 << 10
-	// maxChangesBytes bounds a batch of changes after decompression.
-	maxChangesBytes = 256 << 10
-)
-
-// SendChanges sends changes of the store to the other instances of the zone, and
-// returns the number of bytes sent. It sends only the revision of a batch that
-// exceeds maxRelayBytes.
-func (e *Exchange) SendChanges(changes *pb.StoreChanges) int {
-	conn := e.conn.Load()
-	e.mu.Lock()
-	zoneAddresses := e.zoneAddresses(time.Now())
-	e.mu.Unlock()
-	if conn == nil || len(zoneAddresses) == 0 {
-		return 0
-	}
-	data, err := encodeChanges(changes)
-	if err == nil && len(data)*len(zoneAddresses) > maxRelayBytes {
-		changes.After, changes.Items = changes.GetRevision(), nil
-		data, err = encodeChanges(changes)
-	}
-	if err != nil {
-		e.options.Log.WithError(err).Error("store changes cannot be encoded; not relaying them to the other instances of the zone")
-		return 0
-	}
-	for _, address := range zoneAddresses {
-		sendDatagram(conn, data, address)
-	}
-	return len(data) * len(zoneAddresses)
-}
-
-// encodeChanges returns the datagram of changes, compressed.
-func encodeChanges(changes *pb.StoreChanges) ([]byte, error) {
-	block, err := packed.Marshal(changes)
-	if err != nil {
-		return nil, err
-	}
-	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: block}})
-}
-
 // zoneAddresses returns the addresses of the zone's other instances: those that the store
 // lists and those whose states arrive.
 func (e *Exchange) zoneAddresses(now time.Time) []*net.UDPAddr {
