entry, follow: a large zone asks a store that does not answer less often

One answer a zone is enough, as the instance that gets it relays it.

An instance now waits up to 60 ms for each instance of its zone, between 0.3 and 1.5 s; the zone's aggregators, one of which will be the relay, still ask every 0.3 s. Zones of up to five instances change nothing.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -222,7 +222,8 @@
 func (i *Instance) newFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: i.Store, Log: i.Log, Pause: i.watchPause,
-		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
+		MaxRetry: func() time.Duration { return maxStoreRetry(i.exchange.ZoneSize(time.Now())) },
+		Role:     i.storeRole, Feed: i.feed, Publish: i.publishChanges,
 		ReplayFrom: func(era uint64) store.Revision { return i.exchange.ReplayFrom(era, time.Now()) },
 		Subscriptions: []follow.Subscription{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, snapshots: i.snapshots, log: i.Log}},
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -53,6 +53,23 @@
 	return max(watchPauseBase, time.Duration(float64(i.relayTime.Load())/relayLinkShare))
 }
 
+const (
+	// retryPerInstance is by how much each instance of a zone lengthens the time between two
+	// calls of each while the store does not answer, up to maxZoneRetry: the first that gets
+	// an answer becomes the relay.
+	retryPerInstance = 60 * time.Millisecond
+	maxZoneRetry     = 1500 * time.Millisecond
+)
+
+// maxStoreRetry returns the longest time between two calls of an instance while the store
+// does not answer. Those that would be the relay ask the most often.
+func maxStoreRetry(zoneInstances int, isAggregator bool) time.Duration {
+	if isAggregator {
+		return follow.MinRetry
+	}
+	return min(max(time.Duration(zoneInstances)*retryPerInstance, follow.MinRetry), maxZoneRetry)
+}
+
 // receiveChanges queues a batch relayed by another instance for the follower.
 func (i *Instance) receiveChanges(m *pb.StoreChanges, now time.Time) {
 	b := follow.Batch{
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,7 +23,9 @@
 	// recovery is detected at once, and in single reads of a relayed instance.
 	probeWait  = time.Millisecond
 	retryFirst = 50 * time.Millisecond
-	retryMax   = 300 * time.Millisecond
+	// MinRetry is the least bound of the time between two calls while the store does not
+	// answer.
+	MinRetry = 300 * time.Millisecond
 )
 
 // Handler receives what a Follower reads. Until expiryGraceUntil, which is zero
@@ -53,6 +55,9 @@
 	Subscriptions []Subscription
 	// Pause returns the time to wait after a call that returned changes.
 	Pause func() time.Duration
+	// MaxRetry bounds the time between two calls while the store does not answer; nil means
+	// MinRetry.
+	MaxRetry func() time.Duration
 	// Role returns the instance's current role; nil means Direct.
 	Role func() Role
 	// Feed delivers the batches of the zone's relay.
@@ -112,6 +117,7 @@
 	defer f.omitted.readers.Wait()
 	retry := newRetry()
 	for ctx.Err() == nil {
+		retry.MaxInterval = f.maxRetry()
 		f.applyReads(ctx)
 		if f.awaitRelay(ctx) {
 			continue
@@ -133,6 +139,13 @@
 	}
 }
 
+func (f *Follower) maxRetry() time.Duration {
+	if f.MaxRetry == nil {
+		return MinRetry
+	}
+	return f.MaxRetry()
+}
+
 // pauseAfterChanges waits for Pause if the last call returned changes.
 func (f *Follower) pauseAfterChanges(ctx context.Context) {
 	if !f.changed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -141,3 +141,37 @@
 		t.Errorf("the prefix was listed %d times, want 2", len(r.resyncs))
 	}
 }
+
+// Pattern: the store is away for 20 s. The calls are as rare as MaxRetry allows, and its return
+// is noticed within that time.
+func TestMaxRetryBoundsTheCallsToAnUnreachableStore(t *testing.T) {
+	for _, maxRetry := range []time.Duration{MinRetry, 1500 * time.Millisecond} {
+		h := &history{}
+		h.set("k1", "a")
+		synctest.Test(t, func(t *testing.T) {
+			role := Direct
+			f, m, _ := newRelayedFollower(h, &role)
+			f.MaxRetry = func() time.Duration { return maxRetry }
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			time.Sleep(time.Second)
+			h.setDown(true)
+			before := h.count()
+			time.Sleep(20 * time.Second)
+			// The intervals are random between half and one and a half of the bound.
+			if calls := h.count() - before; calls > int(20*time.Second/maxRetry)*3/2+10 {
+				t.Errorf("%d calls in 20 s with MaxRetry %v", calls, maxRetry)
+			}
+			h.setDown(false)
+			h.set("k1", "b")
+			time.Sleep(2 * maxRetry)
+			synctest.Wait()
+			if m.state["k1"] != "b" {
+				t.Errorf("k1 = %q %v after the store's return, want b", m.state["k1"], 2*maxRetry)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/follow/omitted.go
+++ b/internal/follow/omitted.go
@@ -111,6 +111,6 @@
 
 func newRetry() *backoff.ExponentialBackOff {
 	retry := backoff.NewExponentialBackOff()
-	retry.InitialInterval, retry.MaxInterval = retryFirst, retryMax
+	retry.InitialInterval, retry.MaxInterval = retryFirst, MinRetry
 	return retry
 }
--- a/internal/follow/relay_property_test.go
+++ b/internal/follow/relay_property_test.go
@@ -54,7 +54,7 @@
 				r.Fatal(err)
 			}
 			for len(f.omitted.reading) > 0 {
-				time.Sleep(retryMax)
+				time.Sleep(MinRetry)
 				f.applyReads(t.Context())
 			}
 			if diff := cmp.Diff(h.state(), m.state); diff != "" {
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -56,6 +56,14 @@
 	return config.GetVersion(), config.GetStatusAddress()
 }
 
+// ZoneSize returns the number of instances of this zone in the last sum, 0 without one, and
+// whether this instance is one of the zone's aggregators.
+func (e *Exchange) ZoneSize(now time.Time) (instances int, isAggregator bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.freshSum(now).GetMembers()), e.isAggregator(now)
+}
+
 // Relay returns the name of the instance that reads the store for the zone; empty if there
 // is none that reaches it, or no other instance in the zone. While instances disagree,
 // they only read the store more often than needed.
