entry: configurations between instances are compressed, failed reads spaced out

The answer is a zstd frame if the caller accepts it (34 KB), compressed once a version; a failed read is repeated after 0.1 s, doubling to 0.8 s. Instances of earlier releases, which neither ask for nor send it compressed, are served as before (tested).

Tests, red with the mechanisms off: TestFailedReadsOfAConfigurationAreSpacedOut (80 reads in 4 s), TestConfigurationIsCompressedBetweenInstances (136,000 bytes sent).

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/httpcall"
+	"kumquatyard/internal/packed"
 )
 
 const (
@@ -25,15 +26,32 @@
 	// to learn whether the store lost a newer configuration.
 	startupWait        = 600 * time.Millisecond
 	configFetchTimeout = 500 * time.Millisecond
+	// firstConfigRetry is the time between a failed read of another instance's
+	// configuration and the next; it doubles up to maxConfigRetry.
+	firstConfigRetry = 100 * time.Millisecond
+	maxConfigRetry   = 800 * time.Millisecond
+	// compression is the content coding of configurations between instances.
+	compression = "zstd"
+	// maxConfigBytes bounds a configuration after decompression.
+	maxConfigBytes = 16 << 20
 )
 
-// serveConfig writes the configuration as it was read from the store.
-func (i *Instance) serveConfig(w http.ResponseWriter, _ *http.Request) {
+// serveConfig writes the configuration as it was read from the store, compressed if the
+// caller asks for it: a hundred instances may read it at once.
+func (i *Instance) serveConfig(w http.ResponseWriter, r *http.Request) {
 	encoded := i.snapshots.encodedConfig()
 	if encoded == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	if r.Header.Get("Accept-Encoding") == compression {
+		if compressed, err := i.snapshots.compressedConfig(); err != nil {
+			i.Log.WithError(err).WithField("event", "config_uncompressed").Warn("configuration cannot be compressed for another instance; sending it as it is")
+		} else {
+			w.Header().Set("Content-Encoding", compression)
+			encoded = compressed
+		}
+	}
 	// An error means that the other instance has disconnected.
 	_, _ = w.Write(encoded)
 }
@@ -58,6 +76,9 @@
 	startedAt   time.Time
 	released    bool
 	behindSince time.Time
+	// retryAt is when a read may follow a failed one, and retryTime the time between them.
+	retryAt   time.Time
+	retryTime time.Duration
 }
 
 // run checks for newer configurations until ctx is done.
@@ -84,7 +105,7 @@
 	}
 	newest, address := k.newest()
 	if newest <= k.version() {
-		k.behindSince = time.Time{}
+		k.behindSince, k.retryAt, k.retryTime = time.Time{}, time.Time{}, 0
 		if !restored || newest > 0 || now.Sub(k.startedAt) >= startupWait {
 			k.releaseOnce()
 		}
@@ -100,8 +121,13 @@
 			return
 		}
 	}
+	if now.Before(k.retryAt) {
+		return
+	}
 	fields := logrus.Fields{"event": "config_behind", "version": k.version(), "newest": newest, "address": address, "starting": starting}
 	if err := k.fetch(ctx, address); err != nil {
+		k.retryTime = min(max(2*k.retryTime, firstConfigRetry), maxConfigRetry)
+		k.retryAt = now.Add(k.retryTime)
 		k.log.WithError(err).WithFields(fields).Warn("another instance serves with a newer configuration, which could not be read from it; trying again")
 		return
 	}
@@ -117,18 +143,26 @@
 
 // fetchConfig reads and applies the configuration of another instance.
 func (i *Instance) fetchConfig(ctx context.Context, address string) error {
-	reply, err := httpcall.New(address, configFetchTimeout).Do(ctx, httpcall.Call{Method: http.MethodGet, Path: configPath})
+	client := httpcall.New(address, configFetchTimeout)
+	client.AnswerHeader = "Content-Encoding"
+	reply, err := client.Do(ctx, httpcall.Call{Method: http.MethodGet, Path: configPath, Header: map[string]string{"Accept-Encoding": compression}})
 	if err != nil {
 		return fmt.Errorf("read the configuration of the instance at %s: %w", address, err)
 	}
 	if reply.Status != http.StatusOK {
 		return fmt.Errorf("read the configuration of the instance at %s: status %d", address, reply.Status)
 	}
-	config, err := i.DecodeConfig(reply.Body)
+	encoded := reply.Body
+	if reply.Header == compression {
+		if encoded, err = packed.Decompress(reply.Body, maxConfigBytes); err != nil {
+			return fmt.Errorf("decompress the configuration of the instance at %s: %w", address, err)
+		}
+	}
+	config, err := i.DecodeConfig(encoded)
 	if err != nil {
 		return fmt.Errorf("decode the configuration of the instance at %s: %w", address, err)
 	}
-	i.snapshots.setConfig(config, reply.Body)
+	i.snapshots.setConfig(config, encoded)
 	return nil
 }
 
--- a/internal/entry/config_test.go
+++ b/internal/entry/config_test.go
@@ -1,11 +1,18 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"kumquatyard/internal/fleet"
 )
 
 // keeperModel is an instance whose store may have lost configurations, beside another
@@ -98,3 +105,56 @@
 		t.Errorf("version %d after configLag, want 4", m.own)
 	}
 }
+
+// Pattern: a third of the instances do not reach the store, and the one that they read the
+// configuration from does not answer them all in time. Each asks again ever more seldom.
+func TestFailedReadsOfAConfigurationAreSpacedOut(t *testing.T) {
+	m := &keeperModel{known: true, own: 3, newest: 4}
+	k := m.keeper()
+	for step := range int(5 * time.Second / configCheckInterval) {
+		k.check(t.Context(), now.Add(time.Duration(step)*configCheckInterval))
+	}
+	if m.fetches < 4 || m.fetches > 9 {
+		t.Errorf("%d reads in the 4 s after configLag, want 4 to 9", m.fetches)
+	}
+	m.reachable = true
+	k.check(t.Context(), now.Add(5*time.Second+maxConfigRetry))
+	if m.own != 4 {
+		t.Errorf("version %d once the instance is reachable, want 4", m.own)
+	}
+}
+
+// A configuration of many routes takes little bandwidth between instances, also between
+// those of releases that do not compress it.
+func TestConfigurationIsCompressedBetweenInstances(t *testing.T) {
+	large := []byte(strings.Repeat(`{"host":"a.example","prefix":"/b/","service":"c","timeout_ms":3000},`, 2000))
+	for name, compresses := range map[string]bool{"compressed": true, "earlier release": false} {
+		t.Run(name, func(t *testing.T) {
+			from := &Instance{Options: Options{Log: quietLog()}, snapshots: newSnapshotPublisher(quietLog())}
+			from.snapshots.setConfig(&fleet.Config{Version: 7}, large)
+			sent := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !compresses {
+					r.Header.Del("Accept-Encoding")
+				}
+				recorder := httptest.NewRecorder()
+				from.serveConfig(recorder, r)
+				sent = recorder.Body.Len()
+				maps.Copy(w.Header(), recorder.Header())
+				_, _ = w.Write(recorder.Body.Bytes())
+			}))
+			defer server.Close()
+			to := &Instance{Options: Options{Log: quietLog()}, snapshots: newSnapshotPublisher(quietLog())}
+			to.DecodeConfig = func([]byte) (*fleet.Config, error) { return &fleet.Config{Version: 7}, nil }
+			if err := to.fetchConfig(t.Context(), server.Listener.Addr().String()); err != nil {
+				t.Fatal(err)
+			}
+			if !bytes.Equal(to.snapshots.encodedConfig(), large) {
+				t.Errorf("%d bytes arrived, want the %d of the configuration", len(to.snapshots.encodedConfig()), len(large))
+			}
+			if compresses && sent > len(large)/8 {
+				t.Errorf("%d bytes sent for a configuration of %d, want at most an eighth", sent, len(large))
+			}
+		})
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -10,6 +10,7 @@
 
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/packed"
 	"kumquatyard/internal/store"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -21,8 +22,10 @@
 
 	mu     sync.Mutex
 	config *fleet.Config
-	// encoded is the configuration as it was read.
-	encoded  []byte
+	// encoded is the configuration as it was read, and compressed the same once it was
+	// asked for.
+	encoded, compressed []byte
+
 	registry *fleet.Registry
 	// withheld is set while the configuration may be older than that of other instances.
 	withheld bool
@@ -76,6 +79,21 @@
 	return p.encoded
 }
 
+// compressedConfig returns encodedConfig, compressed.
+func (p *snapshotPublisher) compressedConfig() ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.compressed != nil {
+		return p.compressed, nil
+	}
+	compressed, err := packed.Compress(p.encoded)
+	if err != nil {
+		return nil, err
+	}
+	p.compressed = compressed
+	return compressed, nil
+}
+
 // setConfig applies a configuration unless one of the same or a later version is
 // already applied.
 func (p *snapshotPublisher) setConfig(c *fleet.Config, encoded []byte) {
@@ -84,7 +102,7 @@
 	if p.config != nil && c.Version <= p.config.Version {
 		return
 	}
-	p.config, p.encoded = c, encoded
+	p.config, p.encoded, p.compressed = c, encoded, nil
 	if p.onConfig != nil {
 		p.onConfig(c)
 	}
--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -32,6 +32,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
+	return Compress(data)
+}
+
+// Compress returns data as a zstd frame.
+func Compress(data []byte) ([]byte, error) {
 	encoder, err := denseEncoder()
 	if err != nil {
 		return nil, fmt.Errorf("create zstd encoder: %w", err)
@@ -42,7 +47,7 @@
 // denseWindowBytes is how far back an encoder looks for repetitions, which bounds its memory.
 const denseWindowBytes = 512 << 10
 
-// denseEncoder returns the encoder of MarshalDense.
+// denseEncoder returns the encoder of Compress.
 var denseEncoder = sync.OnceValues(func() (*zstd.Encoder, error) {
 	return zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(denseWindowBytes))
 })
@@ -52,7 +57,7 @@
 func Unmarshal(block []byte, limit int, m proto.Message) error {
 	decompress := decompressBlock
 	if bytes.HasPrefix(block, zstdMagic) {
-		decompress = decompressFrame
+		decompress = Decompress
 	}
 	data, err := decompress(block, limit)
 	if err != nil {
@@ -84,8 +89,9 @@
 	return data, nil
 }
 
-// decompressFrame decompresses a zstd frame.
-func decompressFrame(frame []byte, limit int) ([]byte, error) {
+// Decompress returns the content of a zstd frame. It fails with ErrTooLarge if that is over
+// limit, in bytes.
+func Decompress(frame []byte, limit int) ([]byte, error) {
 	decoder, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(uint64(limit)))
 	if err != nil {
 		return nil, fmt.Errorf("create zstd decoder: %w", err)
