autoscale: no servers are released while some may not be known yet

Cause: until the load is known, the autoscaler replaces the servers that it discovers, and releases none until no new one has registered for 1.2 s. The holder of the duties of 295 instances reads the store's changes each 1.3 s until its zone has a relay, so that two reads may lie further apart: with 15 of 163 servers known it set the on-demand servers of a zone to 0. Ruled out: who holds the duties, and when they are taken.

The quiet period is 2.6 s, more than such an interval and a late relay.

Test, red first: TestServersAreKeptWhileReadsAreRare (four orders that release servers).

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -35,7 +35,8 @@
 	// ScaleDownDelay is how long the need has to stay lower before servers are released.
 	ScaleDownDelay time.Duration
 	// DiscoveryQuietPeriod is the time without a newly registered server after which
-	// servers are ordered although the load is unknown.
+	// servers are ordered although the load is unknown. It has to exceed the time between two
+	// reads of the servers' entries, which is 1.3 s for many instances.
 	DiscoveryQuietPeriod time.Duration
 	// RefusalBackoff is how long no reclaimable servers are ordered in a zone after
 	// an order was refused there.
@@ -47,7 +48,7 @@
 
 // DefaultSettings suit pools whose servers boot within seconds.
 var DefaultSettings = Settings{
-	Utilization: 0.76, StalenessPenalty: 0.12, MinUtilization: 0.6, Occupancy: 0.65, SlotReserve: 1.6, ScaleDownDelay: 6 * time.Second, DiscoveryQuietPeriod: 1200 * time.Millisecond,
+	Utilization: 0.76, StalenessPenalty: 0.12, MinUtilization: 0.6, Occupancy: 0.65, SlotReserve: 1.6, ScaleDownDelay: 6 * time.Second, DiscoveryQuietPeriod: 2600 * time.Millisecond,
 	RefusalBackoff: 2 * time.Second, ResendAfter: 1500 * time.Millisecond,
 }
 
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -357,6 +357,35 @@
 	}
 }
 
+// Pattern: 120 on-demand servers register within five seconds of a start of everything, and
+// the holder of the duty, one of 295 instances, reads the store's changes each 1.3 s. None of
+// the servers that it does not know yet may be released.
+func TestServersAreKeptWhileReadsAreRare(t *testing.T) {
+	const readInterval, last = 1300 * time.Millisecond, 5 * time.Second
+	zones := []string{"a", "b", "c"}
+	scaler := New(DefaultSettings)
+	var known []*fleet.Server
+	readAt := -readInterval
+	for at := time.Duration(0); at < last+readInterval; at += step {
+		if at-readAt >= readInterval {
+			readAt = at
+			for n := len(known); n < int(120*at/last) && n < 120; n++ {
+				known = append(known, &fleet.Server{Server: machine.Server{ID: machine.ID(fmt.Sprint(n)), Pool: "p", Zone: zones[n%3]}, Lifecycle: machine.Serving, Slots: 64})
+			}
+		}
+		now := start.Add(at)
+		if len(known) == 0 {
+			continue
+		}
+		for _, o := range scaler.Plan(Input{Pool: pool(), Servers: known, Now: now, Load: Load{ServerRate: rate, Slots: 64}}) {
+			if !o.Reclaimable {
+				t.Errorf("%v after the start, with %d of 120 servers known: order %+v", at, len(known), o)
+			}
+			scaler.RecordOutcome(o, Accepted, now)
+		}
+	}
+}
+
 // When an order is fulfilled late, the servers differ from the last order, which is
 // then sent again.
 func TestLateOrderIsReverted(t *testing.T) {
