entry, duty: the zones' aggregators compete for the duties first

Who is an aggregator of its zone (two a zone) competes at once, as soon as it knows its zone's instances; the others two seconds after a lost holder's lease has expired. Zones of up to two instances change nothing. Whoever may not compete asks itself again after 0.2 s instead of a quarter of the lease.

--- a/cmd/kumquat-entry/duties.go
+++ b/cmd/kumquat-entry/duties.go
@@ -40,7 +40,7 @@
 		Settings: duty.Settings{
 			TTL: s.LeaseTTL, RetryInterval: s.LeaseTTL / 4, FencingEnforced: s.FencingEnforced, KeepUntilExpiry: !s.FencingEnforced, UniqueHolder: true,
 		},
-		Candidate: state.Candidate, Stopping: state.Stopping, Perform: r.perform,
+		Candidate: func() bool { return state.Candidate(s.LeaseTTL) }, Stopping: state.Stopping, Perform: r.perform,
 	}
 	if err := job.Run(ctx); err != nil {
 		log.WithError(err).WithField("event", "duty_failed").Error("duties stopped with an error")
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -81,6 +81,9 @@
 	renewAfterShare = 0.3
 	stopAfterShare  = 0.7
 	callTimeout     = 2 * time.Second
+	// candidateInterval is the mean time between two questions whether this process is a
+	// candidate, while it is none.
+	candidateInterval = 200 * time.Millisecond
 )
 
 var (
@@ -136,12 +139,15 @@
 	d.era, d.eraSince = d.KV.Era(), d.Now()
 	for ctx.Err() == nil && !d.isStopping() {
 		d.observeEra()
+		interval := d.Settings.RetryInterval
 		if d.Candidate == nil || d.Candidate() {
 			if err := d.tryAcquire(ctx); err != nil && ctx.Err() == nil {
 				d.Log.WithError(err).WithField("duty", d.Name).Warn("duty lost or not acquired; trying again")
 			}
+		} else {
+			interval = min(interval, candidateInterval)
 		}
-		d.wait(ctx, time.Duration((0.5+rand.Float64())*float64(d.Settings.RetryInterval)))
+		d.wait(ctx, time.Duration((0.5+rand.Float64())*float64(interval)))
 	}
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,6 +65,7 @@
 	relayTime atomic.Int64
 
 	reloadable  atomic.Pointer[ReloadableSettings]
+	startedAt   time.Time
 	incarnation uint64
 	stopping    atomic.Bool
 	// holding is set while this instance holds the duties. holderSeen is when
@@ -99,6 +100,7 @@
 		limits:      ratelimit.New(o.Settings.Name, o.Log),
 		brittle:     brittle.New(o.Settings.Name, o.Log),
 		feed:        make(chan follow.Batch, feedBuffer),
+		startedAt:   now,
 		incarnation: uint64(now.UnixMilli()),
 	}
 	i.reloadable.Store(&o.Settings.Reloadable)
@@ -222,8 +224,10 @@
 func (i *Instance) newFollower() *follow.Follower {
 	return &follow.Follower{
 		Store: i.Store, Log: i.Log, Pause: i.watchPause,
-		MaxRetry: func() time.Duration { return maxStoreRetry(i.exchange.ZoneSize(time.Now())) },
-		Role:     i.storeRole, Feed: i.feed, Publish: i.publishChanges,
+		MaxRetry: func() time.Duration {
+			return maxStoreRetry(i.exchange.ZoneSize(time.Now()), i.exchange.IsAggregator(time.Now()))
+		},
+		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
 		ReplayFrom: func(era uint64) store.Revision { return i.exchange.ReplayFrom(era, time.Now()) },
 		Subscriptions: []follow.Subscription{
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, snapshots: i.snapshots, log: i.Log}},
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -96,8 +96,9 @@
 	AllReported func(within time.Duration) bool
 	// MaxStaleness bounds the age of what instances know of each other's requests.
 	MaxStaleness func() time.Duration
-	// Candidate reports whether this instance should compete for the duties.
-	Candidate func() bool
+	// Candidate reports whether this instance should compete for the duties, whose lease has
+	// a time to live.
+	Candidate func(leaseTTL time.Duration) bool
 	// Stopping is closed when this instance should hand the duties over.
 	Stopping <-chan struct{}
 	// SetHolding records whether this instance holds the duties.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -87,18 +87,63 @@
 	i.counter.Restore(incarnationOf(i.self()), m.GetOthers())
 }
 
-// This instance competes for the duties once their holder has not been heard for
-// holderTimeoutAges times the age that its state may have, but at least for
-// minHolderTimeout.
 const (
+	// An instance competes for the duties once their holder has not been heard for
+	// holderTimeoutAges times the age that its state may have, but at least for
+	// minHolderTimeout.
 	minHolderTimeout  = 1200 * time.Millisecond
 	holderTimeoutAges = 3
+	// aggregatorsFirst is the time that the aggregators of the zones have to take the duties
+	// once a lost holder's lease has expired, before other instances compete: they shall not
+	// all ask the store.
+	aggregatorsFirst = 2 * time.Second
+	// zoneSettleTime is the time from the first list of the zone's instances until this
+	// instance knows whether it is an aggregator: two intervals of its messages.
+	zoneSettleTime = 300 * time.Millisecond
 )
 
 // mayCompeteForDuties reports whether no other instance has recently reported that
-// it holds the duties.
-func (i *Instance) mayCompeteForDuties() bool {
-	return time.Since(time.Unix(0, i.holderSeen.Load())) > max(minHolderTimeout, holderTimeoutAges*i.exchange.MaxAge())
+// it holds the duties, under a lease with a time to live.
+func (i *Instance) mayCompeteForDuties(leaseTTL time.Duration) bool {
+	now := time.Now()
+	d := dutyCompetition{
+		neverSeen: i.holderSeen.Load() == 0, silence: now.Sub(time.Unix(0, i.holderSeen.Load())), maxAge: i.exchange.MaxAge(),
+		leaseTTL: leaseTTL, isAggregator: i.exchange.IsAggregator(now),
+	}
+	if since := i.follower.Era().Since; !since.IsZero() {
+		d.zoneKnownFor = now.Sub(since)
+	}
+	if d.neverSeen {
+		d.silence = now.Sub(i.startedAt)
+	}
+	return d.competes()
+}
+
+// dutyCompetition is what an instance knows when it decides whether to compete for the duties.
+type dutyCompetition struct {
+	// neverSeen is set if this process has not heard of a holder.
+	neverSeen bool
+	// silence is the time since the holder was heard of, or else since this process started.
+	silence time.Duration
+	// maxAge is the age that the state of another instance may have.
+	maxAge   time.Duration
+	leaseTTL time.Duration
+	// isAggregator is set if this instance is an aggregator of its zone, as far as it knows
+	// the zone's instances, which it reads from the store, since zoneKnownFor.
+	isAggregator bool
+	zoneKnownFor time.Duration
+}
+
+func (d dutyCompetition) competes() bool {
+	holderTimeout := max(minHolderTimeout, holderTimeoutAges*d.maxAge)
+	switch {
+	case !d.isAggregator:
+		return d.silence > max(holderTimeout, d.leaseTTL)+aggregatorsFirst
+	case d.neverSeen:
+		return d.zoneKnownFor > zoneSettleTime
+	default:
+		return d.silence > holderTimeout
+	}
 }
 
 // register keeps this instance's entry in the store until ctx is done, then revokes
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -56,12 +56,18 @@
 	return config.GetVersion(), config.GetStatusAddress()
 }
 
-// ZoneSize returns the number of instances of this zone in the last sum, 0 without one, and
-// whether this instance is one of the zone's aggregators.
-func (e *Exchange) ZoneSize(now time.Time) (instances int, isAggregator bool) {
+// ZoneSize returns the number of instances of this zone in the last sum, 0 without one.
+func (e *Exchange) ZoneSize(now time.Time) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.freshSum(now).GetMembers()), e.isAggregator(now)
+	return len(e.freshSum(now).GetMembers())
+}
+
+// IsAggregator reports whether this instance is one of its zone's aggregators.
+func (e *Exchange) IsAggregator(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.isAggregator(now)
 }
 
 // Relay returns the name of the instance that reads the store for the zone; empty if there
