quota, rollup, entry: no quotas are not taken for unused ones, and instances are counted first

Cause: an aggregator that starts together with the others counts its levels as known, also before it has read a configuration. Its list is then empty, and who is not in the list is one whose quota is full and unused. An instance that reads the configuration some tenths of a second before its aggregators grants each request until then. (The earlier suspicion, that granted requests begin to run later, was wrong: a request counts when it is sent and run, and 4,200 tokens were refunded.)

Levels are unknown until the quotas are, and what is reported before counts once they are. In the same class: an instance assumed 8 until it had read how many there are, in the same read as the configuration but after it; that list is now applied first.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -230,12 +230,13 @@
 		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
 		ReplayFrom: func(era uint64) store.Revision { return i.exchange.ReplayFrom(era, time.Now()) },
 		Subscriptions: []follow.Subscription{
+			// First, so that the quotas are divided before requests are served.
+			{Prefix: membersPrefix, Handler: &memberHandler{changed: i.setMembers, log: i.Log}},
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, snapshots: i.snapshots, log: i.Log}},
 			{Prefix: i.ServersPrefix, Handler: &serverHandler{decode: i.DecodeServer, id: i.ServerID, snapshots: i.snapshots, log: i.Log}},
 			// After the servers, so that a version that the list lacks is not taken for one that
 			// it has lost.
 			{Prefix: origin.VersionsPrefix, Handler: i.origins},
-			{Prefix: membersPrefix, Handler: &memberHandler{changed: i.setMembers, log: i.Log}},
 		},
 	}
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -22,7 +22,7 @@
 type noQuotas struct{}
 
 func (noQuotas) Record(uint32, float64, float64, time.Time) {}
-func (noQuotas) Known(time.Time) bool                       { return true }
+func (noQuotas) Known(bool, time.Time) bool                 { return true }
 func (noQuotas) Levels(int, time.Time) []*pb.WorkspaceLevel { return nil }
 func (noQuotas) Follow([]*pb.WorkspaceLevel, time.Time)     {}
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -38,6 +38,8 @@
 	sequence   uint64
 	// knownAt is when the instance learns the number of instances.
 	knownAt time.Duration
+	// configAt is when the instance reads the configuration, and serves requests.
+	configAt time.Duration
 	// downFrom is when the instance was killed, and downUntil when it starts again.
 	downFrom, downUntil time.Duration
 }
@@ -55,6 +57,9 @@
 	sizes []float64
 	// requested is the sum of all requests in tokens by workspace, admitted or not.
 	requested map[string]float64
+	// configDelay returns how long after its start an instance reads the configuration; nil
+	// means at once.
+	configDelay func(n int) time.Duration
 	// exact holds what a single token bucket without delays would admit, by workspace.
 	exact map[string]*exactBucket
 }
@@ -108,10 +113,16 @@
 	now := epoch.Add(at)
 	i.self = &pb.Instance{Name: i.self.GetName(), Zone: i.self.GetZone(), Incarnation: uint64(now.UnixMilli())}
 	i.ledger, i.levels = New(tolerance, now), NewLevels(tolerance, now)
-	i.levels.SetQuotas(f.workspaces)
+	i.configAt = at
+	if f.configDelay != nil {
+		i.configAt += f.configDelay(n)
+	}
 	clear(f.ranked)
 	i.aggregator, i.member = rollup.NewAggregator(i.self, i.levels), rollup.NewMember(i.self)
 	i.sequence, i.knownAt = 0, at+membersKnown
+	if f.configDelay != nil {
+		i.knownAt = i.configAt // both are in the first read of the store
+	}
 }
 
 // delivery reports whether a message of one instance arrives at another.
@@ -130,6 +141,10 @@
 		if at < i.downUntil {
 			continue
 		}
+		if at < i.configAt {
+			continue
+		}
+		i.levels.SetQuotas(f.workspaces)
 		if at >= i.knownAt {
 			i.ledger.SetInstances(len(f.instances), 3*f.interval)
 			i.levels.SetInstances(len(f.instances))
--- a/internal/quota/levels.go
+++ b/internal/quota/levels.go
@@ -24,7 +24,10 @@
 	// followed is set once the levels of another aggregator were adopted.
 	followed  bool
 	instances int
-	buckets   map[uint32]*bucket
+	// buckets holds the buckets of the workspaces with a quota, nil before a configuration
+	// is known. early is what was used until then.
+	buckets map[uint32]*bucket
+	early   map[uint32]float64
 }
 
 // adoptionTime is how long after its start a process that hears of no levels waits before
@@ -62,7 +65,7 @@
 
 // NewLevels returns Levels for a process that started at startedAt.
 func NewLevels(tolerance Tolerance, startedAt time.Time) *Levels {
-	return &Levels{tolerance: tolerance, startedAt: startedAt, instances: assumedInstances, buckets: make(map[uint32]*bucket)}
+	return &Levels{tolerance: tolerance, startedAt: startedAt, instances: assumedInstances, early: make(map[uint32]float64)}
 }
 
 // SetTolerance changes the use that is allowed beyond the quotas.
@@ -91,18 +94,22 @@
 		key := rollup.Key(name)
 		b := l.buckets[key]
 		if b == nil {
-			b = &bucket{refilled: l.startedAt}
+			b = &bucket{refilled: l.startedAt, level: -l.early[key]}
 		}
 		b.quota = w.Quota
 		buckets[key] = b
 	}
 	l.buckets = buckets
+	clear(l.early)
 }
 
 // Record implements rollup.Quotas.
 func (l *Levels) Record(workspace uint32, requested, used float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.buckets == nil {
+		l.early[workspace] += used
+	}
 	b := l.buckets[workspace]
 	if b == nil {
 		return
@@ -117,10 +124,10 @@
 }
 
 // Known implements rollup.Quotas.
-func (l *Levels) Known(now time.Time) bool {
+func (l *Levels) Known(joined bool, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.followed || now.Sub(l.startedAt) >= adoptionTime
+	return l.buckets != nil && (!joined || l.followed || now.Sub(l.startedAt) >= adoptionTime)
 }
 
 // Levels implements rollup.Quotas. The quota's part of instances whose reports are
@@ -147,6 +154,9 @@
 func (l *Levels) Follow(levels []*pb.WorkspaceLevel, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.buckets == nil {
+		return
+	}
 	l.followed = true
 	known := make(map[uint32]*pb.WorkspaceLevel, len(levels))
 	for _, w := range levels {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -198,11 +198,19 @@
 func TestLevelsOfANewProcessAreNotKnownAtOnce(t *testing.T) {
 	start := time.Unix(1000, 0)
 	levels := NewLevels(Tolerance{}, start)
-	if levels.Known(start.Add(adoptionTime/2)) || !levels.Known(start.Add(adoptionTime)) || adoptionTime < 500*time.Millisecond {
+	levels.Follow(nil, start)
+	if levels.Known(false, start.Add(adoptionTime)) {
+		t.Error("the levels are known before the quotas are")
+	}
+	levels.SetQuotas(nil)
+	if !levels.Known(false, start) {
+		t.Error("the levels are not known although all instances have just started")
+	}
+	if levels.Known(true, start.Add(adoptionTime/2)) || !levels.Known(true, start.Add(adoptionTime)) || adoptionTime < 500*time.Millisecond {
 		t.Error("the levels are known before an interval in which each aggregator sends several sums, or not after it")
 	}
 	levels.Follow(nil, start)
-	if !levels.Known(start.Add(time.Millisecond)) {
+	if !levels.Known(true, start.Add(time.Millisecond)) {
 		t.Error("the levels are not known although those of another aggregator arrived")
 	}
 }
--- a/internal/quota/restart_test.go
+++ b/internal/quota/restart_test.go
@@ -50,3 +50,42 @@
 		}
 	}
 }
+
+// Pattern: 71 of 72 instances start within a moment and read the configuration one after the
+// other, the aggregators last, while callers whose requests broke off come again at once. An
+// aggregator without a configuration knows no quotas, which must not be taken for quotas that
+// nobody uses (hunt-5ca7-3 of matrices-norte-grown, QUOTA).
+func TestAggregatorsReadTheConfigurationLate(t *testing.T) {
+	const (
+		instances, zones = 72, 4
+		rate             = 648_559.0
+		killAt, pause    = 13 * time.Second, 500 * time.Millisecond
+	)
+	f := newFleet(instances, zones, 97*time.Millisecond, &fleet.Workspace{Name: "hot", Quota: fleet.Quota{PerSecond: rate, Burst: rate, InTokens: true}})
+	f.sizes = largeSizes
+	demand := func(_ string, _ int, at time.Duration) float64 {
+		if at >= killAt && at < killAt+pause+time.Second {
+			return 15 * rate / instances
+		}
+		return 5 * rate / instances
+	}
+	admitted := f.run(demand, 22*time.Second, deliverAll, func(at time.Duration) {
+		if at != killAt {
+			return
+		}
+		late := make(map[int]bool)
+		for z := range zones {
+			for _, n := range f.aggregators(fmt.Sprint("z", z), at) {
+				late[n] = true
+			}
+		}
+		f.configDelay = func(n int) time.Duration {
+			if late[n] {
+				return 400 * time.Millisecond
+			}
+			return time.Duration(n%10) * 10 * time.Millisecond
+		}
+		f.kill(at, pause, f.all()[1:]...)
+	})
+	checkWindows(t, admitted, largeBound(rate))
+}
--- a/internal/rollup/aggregator.go
+++ b/internal/rollup/aggregator.go
@@ -23,8 +23,9 @@
 type Quotas interface {
 	// Record adds what was requested and used of a quota.
 	Record(workspace uint32, requested, used float64, now time.Time)
-	// Known reports whether the levels are known; they are not right after a start.
-	Known(now time.Time) bool
+	// Known reports whether the levels are known. They are not before the quotas are, nor right
+	// after a start if the process joined others that were running.
+	Known(joined bool, now time.Time) bool
 	// Levels returns the levels when the reports cover the given number of instances.
 	Levels(instances int, now time.Time) []*pb.WorkspaceLevel
 	// Follow replaces the levels by those of another aggregator.
@@ -134,7 +135,7 @@
 
 // levelsKnown reports whether the levels of the quotas are known. If all instances started
 // at about the same time, nobody knows more.
-func (a *Aggregator) levelsKnown(now time.Time) bool { return !a.joined || a.quotas.Known(now) }
+func (a *Aggregator) levelsKnown(now time.Time) bool { return a.quotas.Known(a.joined, now) }
 
 // current returns the members whose states are in the sum, and drops the others.
 func (a *Aggregator) current(now time.Time) []*member {
