--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -32,6 +32,8 @@
 	// Wait is how long the service may delay the answer of a long poll; 0 if the call
 	// is none.
 	Wait time.Duration
+	// Timeout bounds the call instead of the client's timeout; 0 means that one.
+	Timeout time.Duration
 }
 
 // Reply is a complete HTTP answer.
@@ -101,6 +103,9 @@
 // are *contract.Error.
 func (h *Client) Do(ctx context.Context, c Call) (Reply, error) {
 	limit := h.timeout
+	if c.Timeout > 0 {
+		limit = c.Timeout
+	}
 	if c.Wait > 0 {
 		// The service adds a jitter of up to a sixteenth of the wait.
 		limit += c.Wait + c.Wait/16
