follow: no pause after an answer that may lack changes

Cause, shown by a scratch copy that logs each watch: the store returns about 500 changes at once. When a pool gets a second version, the instances record all streams in flight, some 8,000 keys in a quarter of a second, and a watch of all keys returns them too. The follower pauses after each answer, 0.25 s at the relay and 1.3 s at an instance that reads the store itself, so that it lags by seconds, and more if the relay is lost.

After an answer of 100 changes and more it asks again at once.

Test, red first: TestManyChangesDelayNoOther.

--- a/internal/follow/fixture_test.go
+++ b/internal/follow/fixture_test.go
@@ -25,6 +25,8 @@
 	// staleBy is the number of changes that stale lists lack, and compacted the number of
 	// changes that watches cannot return any more.
 	staleBy, compacted int
+	// maxEvents bounds the changes that a watch returns; 0 means no bound.
+	maxEvents int
 	// itemTime is how long an item takes from the store to the caller.
 	itemTime time.Duration
 }
@@ -149,6 +151,9 @@
 		time.Sleep(wait)
 	}
 	changes := h.all()
+	if h.maxEvents > 0 {
+		changes = changes[:min(len(changes), int(after.Number)+h.maxEvents)]
+	}
 	return changes[after.Number:], h.revision(uint64(len(changes))), nil
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -53,7 +53,8 @@
 type Follower struct {
 	Store         store.Reader
 	Subscriptions []Subscription
-	// Pause returns the time to wait after a call that returned changes.
+	// Pause returns the time to wait after a call that returned changes, but not after one
+	// that may lack some.
 	Pause func() time.Duration
 	// MaxRetry bounds the time between two calls while the store does not answer; nil means
 	// MinRetry.
@@ -78,7 +79,7 @@
 	readAt time.Time
 	// behind is set while changes are known to be missing.
 	behind bool
-	// changed is set when the last call returned changes.
+	// changed is set when the last call returned changes, and seemingly all of them.
 	changed bool
 	// disconnected is set while there are no updates, neither from the store nor
 	// from the relay. reconnectedAt is when they resumed.
@@ -146,7 +147,11 @@
 	return f.MaxRetry()
 }
 
-// pauseAfterChanges waits for Pause if the last call returned changes.
+// manyChanges is the number of changes from which an answer may lack others that the store
+// has: it returns a limited number at once, some 500 on the users' platform.
+const manyChanges = 100
+
+// pauseAfterChanges waits for Pause if the last call returned all the changes there were.
 func (f *Follower) pauseAfterChanges(ctx context.Context) {
 	if !f.changed {
 		return
@@ -178,7 +183,7 @@
 	f.storeUnreachable.Store(false)
 	f.publish(known, revision, items, now)
 	f.revision.Store(&revision)
-	f.changed = len(items) > 0
+	f.changed = len(items) > 0 && len(items) < manyChanges
 	f.dispatch(items, now, f.expiryGraceUntil(now))
 	return nil
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -175,3 +176,30 @@
 		})
 	}
 }
+
+// Pattern: a pool gets a second version, and the instances write records of 8,000 streams at
+// once; a watch returns 500 changes. Then a server says that it leaves.
+func TestManyChangesDelayNoOther(t *testing.T) {
+	h := &history{maxEvents: 500}
+	h.set("k-server", "serves")
+	synctest.Test(t, func(t *testing.T) {
+		role := Direct
+		f, m, _ := newRelayedFollower(h, &role)
+		f.Pause = func() time.Duration { return 1300 * time.Millisecond }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(time.Second)
+		for n := range 8000 {
+			h.set(fmt.Sprint("stream-", n), "v1")
+		}
+		h.set("k-server", "leaves")
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if m.state["k-server"] != "leaves" {
+			t.Errorf("k-server = %q 2 s after its change, want leaves", m.state["k-server"])
+		}
+		cancel()
+		<-done
+	})
+}
