--- a/internal/packed/packed.go
+++ b/internal/packed/packed.go
@@ -18,9 +18,9 @@
 
 // Marshal encodes a message as an S2 block. Equal messages give equal blocks.
 func Marshal(m proto.Message) ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
-		return nil, fmt.Errorf("encode message: %w", err)
+		return nil, err
 	}
 	return s2.EncodeBetter(nil, data), nil
 }
@@ -28,13 +28,21 @@
 // MarshalDense encodes a message as a zstd frame, which is about half as large as the block
 // of Marshal and takes more processor time.
 func MarshalDense(m proto.Message) ([]byte, error) {
-	data, err := proto.Marshal(m)
+	data, err := encode(m)
 	if err != nil {
-		return nil, fmt.Errorf("encode message: %w", err)
+		return nil, err
 	}
 	return Compress(data)
 }
 
+func encode(m proto.Message) ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode message: %w", err)
+	}
+	return data, nil
+}
+
 // Compress returns data as a zstd frame.
 func Compress(data []byte) ([]byte, error) {
 	encoder, err := denseEncoder()
--- a/internal/peers/changes.go
+++ b/internal/peers/changes.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -42,7 +43,7 @@
 	for _, address := range zoneAddresses {
 		sendDatagram(conn, data, address)
 	}
-	return e.linkTime(len(data) * len(zoneAddresses))
+	return e.relayTime(len(data) * len(zoneAddresses))
 }
 
 // encodeForZone returns the datagram of changes for a number of instances. If it is too large
@@ -50,7 +51,7 @@
 // it announces the revision only, and each instance reads all changes from the store.
 func (e *Exchange) encodeForZone(changes *pb.StoreChanges, instances int) ([]byte, error) {
 	fits := func(data []byte) bool {
-		return len(data) <= maxDatagramBytes && proto.Size(changes) <= maxChangesBytes && e.linkTime(len(data)*instances) <= maxRelayTime
+		return len(data) <= maxDatagramBytes && proto.Size(changes) <= maxChangesBytes && e.relayTime(len(data)*instances) <= maxRelayTime
 	}
 	if data, err := encodeChanges(changes); err != nil || fits(data) {
 		return data, err
@@ -84,11 +85,12 @@
 	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: block}})
 }
 
-// linkTime returns the time for which bytes fill this instance's link.
-func (e *Exchange) linkTime(bytes int) time.Duration {
-	mbps := e.options.Self.GetLinkMbps()
-	if mbps == 0 {
-		mbps = defaultRelayMbps
-	}
+// relayTime returns the time for which relayed bytes fill this instance's link.
+func (e *Exchange) relayTime(bytes int) time.Duration { return e.linkTime(bytes, defaultRelayMbps) }
+
+// linkTime returns the time for which bytes fill this instance's link, which has unknownMbps if
+// its bandwidth is not known.
+func (e *Exchange) linkTime(bytes int, unknownMbps uint32) time.Duration {
+	mbps := cmp.Or(e.options.Self.GetLinkMbps(), unknownMbps)
 	return time.Duration(float64(8*bytes) / (float64(mbps) * 1e6) * float64(time.Second))
 }
--- a/internal/peers/changes_test.go
+++ b/internal/peers/changes_test.go
@@ -22,17 +22,17 @@
 	word := func() string { return fmt.Sprintf("%07x", random.Uint32()%(1<<28)) }
 	var config strings.Builder
 	for n := range routes {
-		fmt.Fprintf(&config, `{"name":"r-%s","host":"%s.example","prefix":"/%s/","route_kind":"streaming","timeout_ms":%d,"latency_target_ms":%d,"priority":%d,"service":"huvo11a","max_attempts":2,"public":false,"sticky":true,"resumable":true,"max_gap_ms":600},`,
+		fmt.Fprintf(&config, `{"name":"r-%s","host":"%s.example","path":"/%s/","answer":"event-stream","answered_within":%d,"first_byte_within":%d,"precedence":%d,"pool":"writers","tries_at_most":2,"anonymous":false,"affinity":true,"may_continue":true,"pause_at_most":600},`,
 			word(), word(), word(), 3000+1000*(n%4), 300+100*(n%5), n%3)
 	}
-	return &pb.StoreItem{Key: "op/config", Value: []byte(config.String()), Revision: 2}
+	return &pb.StoreItem{Key: "settings/routes", Value: []byte(config.String()), Revision: 2}
 }
 
 // serverItem returns the entry of a server.
 func serverItem(n int) *pb.StoreItem {
 	return &pb.StoreItem{
 		Key:      fmt.Sprintf("servers/i-%08x", n*2654435761),
-		Value:    fmt.Appendf(nil, `{"service":"vohu25a","addr":"10.3.%d.%d:8323","zone":"z","version":"v1","slots":64,"state":"ready","seq":%d}`, n/250, n%250, n),
+		Value:    fmt.Appendf(nil, `{"pool":"writers","address":"10.3.%d.%d:8323","zone":"z","version":"v1","slots":64,"state":"serving","n":%d}`, n/250, n%250, n),
 		Revision: uint64(n),
 	}
 }
@@ -47,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if needed := a.linkTime(len(data) * zoneOfTheLargeDeployment); needed > maxRelayTime {
+	if needed := a.relayTime(len(data) * zoneOfTheLargeDeployment); needed > maxRelayTime {
 		t.Errorf("%d bytes to %d instances take the link %v, want at most %v", len(data), zoneOfTheLargeDeployment, needed, maxRelayTime)
 	}
 	b.handleDatagram(data, time.Now())
@@ -110,7 +110,7 @@
 			defer a.mu.Unlock()
 			return data, a.lastChanges
 		}
-		if data, got := encode(18); a.linkTime(len(data)*instances) > maxRelayTime/2 || len(got.GetItems()) != 18 {
+		if data, got := encode(18); a.relayTime(len(data)*instances) > maxRelayTime/2 || len(got.GetItems()) != 18 {
 			t.Errorf("18 entries to %d instances: %d bytes, %d items; want all of them in half of the time", instances, len(data), len(got.GetItems()))
 		}
 		if data, got := encode(20000); len(data) > 100 || got.GetAfter() != 20000 || len(got.GetItems()) != 0 {
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -192,12 +192,8 @@
 // sumInterval returns the interval between two sums to the zone. It is longer if they would
 // fill more than sumLinkShare of the link.
 func (e *Exchange) sumInterval() time.Duration {
-	mbps := float64(e.options.Self.GetLinkMbps())
-	if mbps == 0 {
-		mbps = defaultLinkMbps
-	}
-	bits := float64(8 * e.sumBytes * len(e.zones[e.options.Self.GetZone()]))
-	needed := time.Duration(bits / (mbps * 1e6 * sumLinkShare) * float64(time.Second))
+	filled := e.linkTime(e.sumBytes*len(e.zones[e.options.Self.GetZone()]), defaultLinkMbps)
+	needed := time.Duration(float64(filled) / sumLinkShare)
 	// Half an interval less, since the loop's steps are not exact.
 	return max(sumIntervals*e.interval()-e.interval()/2, needed)
 }
