--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -35,6 +35,7 @@
 		parts.setDue(requests.dueAt)
 	}
 	t.changed, t.judgedAt, t.dueAt = false, now, parts.dueAt
+	t.logParts(parts, requests.explained, now)
 	before := t.view.Load()
 	v := &view{
 		isTracking:         len(t.parts.evidence)+len(t.requests.evidence) > 0,
