--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -47,6 +47,16 @@
 	returns  []returning
 	lost     map[int]int
 	step     int
+	// deadlyReturns is how often the caller of a request with a deadly part comes again, and
+	// returnGap the time until it does.
+	deadlyReturns int
+	returnGap     time.Duration
+	// endsEarly is set if servers end before they send the head of an answer.
+	endsEarly bool
+	// harmless is set while the deadly parts do not end servers yet.
+	harmless bool
+	// sound and soundServed count the sound requests, and those that were answered.
+	sound, soundServed int
 }
 
 // returning is a caller that comes again.
@@ -86,6 +96,14 @@
 	return deadlyPartOf(r.parts)
 }
 
+// killer returns what of a request ends servers now, 0 if nothing does.
+func (c *cluster) killer(r *run) uint64 {
+	if c.harmless {
+		return 0
+	}
+	return r.deadly()
+}
+
 func newCluster(random *rand.Rand, instances, servers int, lossRate float64, settleTime time.Duration) *cluster {
 	c := &cluster{
 		random: random, now: start, sumTicks: 2, lossRate: lossRate, aliveAt: make([]time.Time, servers), incarnation: make([]int, servers),
@@ -106,6 +124,9 @@
 
 func (c *cluster) send(to []int, evidence []*pb.PartEvidence) {
 	for _, i := range to {
+		if i >= len(c.trackers) {
+			continue
+		}
 		for c.random.Float64() < 1-c.lossRate {
 			delay := time.Duration(c.random.Int64N(int64(tick)))
 			c.inbox = append(c.inbox, message{i, c.now.Add(delay), evidence})
@@ -208,17 +229,26 @@
 		c.trackers[r.instance].Release(r.identity)
 	}
 	if r.deadly() != 0 {
+		if r.returns < c.deadlyReturns {
+			c.comeAgain(r, c.returnGap)
+		}
 		return
 	}
 	if r.returns > 0 {
 		c.lost[r.firstStep]++
 		return
 	}
-	r.returns, r.tries, r.acquired = 1, 0, false
+	c.comeAgain(r, time.Duration(200+c.random.IntN(800))*time.Millisecond)
+}
+
+// comeAgain lets the caller of a request come again, at any instance.
+func (c *cluster) comeAgain(r run, after time.Duration) {
+	r.returns++
+	r.tries, r.acquired = 0, false
 	r.instance = c.random.IntN(len(c.trackers))
 	c.attempts++
 	r.id = fmt.Sprint("again", c.attempts)
-	c.returns = append(c.returns, returning{c.now.Add(time.Duration(200+c.random.IntN(800)) * time.Millisecond), r})
+	c.returns = append(c.returns, returning{c.now.Add(after), r})
 }
 
 // work lets the servers answer, and end under deadly parts and requests.
@@ -227,7 +257,7 @@
 		var left []run
 		var killer uint64
 		for _, r := range c.runs[s] {
-			deadly := r.deadly()
+			deadly := c.killer(&r)
 			switch {
 			case r.begins.After(c.now):
 				left = append(left, r)
@@ -235,6 +265,9 @@
 				killer = deadly
 				left = append(left, r)
 			default:
+				if r.deadly() == 0 {
+					c.soundServed++
+				}
 				if r.acquired {
 					c.trackers[r.instance].Release(r.identity)
 				}
@@ -258,7 +291,8 @@
 	c.incarnation[s]++
 	for _, r := range lost {
 		c.trackers[r.instance].RecordLoss(Loss{
-			Server: fmt.Sprint(s, "/", c.incarnation[s]), Request: r.id, Identity: r.identity, SentAt: r.sentAt, Parts: r.parts, Begun: !r.begins.After(c.now),
+			Server: fmt.Sprint(s, "/", c.incarnation[s]), Request: r.id, Identity: r.identity, SentAt: r.sentAt, Parts: r.parts,
+			Begun: !c.endsEarly && !r.begins.After(c.now),
 		}, c.now)
 	}
 	for _, r := range lost {
@@ -294,6 +328,7 @@
 	}
 	for range sound {
 		c.requests++
+		c.sound++
 		session := 10 + uint64(c.random.IntN(40))
 		c.request(run{instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("s", c.requests), parts: []uint64{1 + session%3, session}, identity: uint64(c.requests), firstStep: c.step})
 	}
--- /dev/null
+++ b/internal/quarantine/repeated_test.go
@@ -0,0 +1,193 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// repeatScenario is a simulated course of events in which servers end under parts of prompts,
+// and the callers of such requests come again.
+type repeatScenario struct {
+	instances, servers int
+	seed               uint64
+	lossRate           float64
+	deadly             int
+	// every is the time between two new requests with a deadly part. The caller of each comes
+	// again returns times, gap after it was refused or failed.
+	every, gap time.Duration
+	returns    int
+	// endsEarly is set if servers end before the head of an answer, and known if the parts
+	// were answered before.
+	endsEarly, known bool
+	// sound is the number of sound requests in a tick, and poison that of requests that end
+	// servers by themselves.
+	sound   float64
+	poison  int
+	trouble string
+}
+
+func (s repeatScenario) String() string {
+	return fmt.Sprintf("%d instances, %d deadly, every %v, %d returns after %v, early %v, known %v, %g sound, %d poison, %s", s.instances, s.deadly, s.every, s.returns, s.gap, s.endsEarly, s.known, s.sound, s.poison, s.trouble)
+}
+
+// play plays a scenario for some time and checks it.
+func (s repeatScenario) play(t *testing.T) {
+	t.Helper()
+	settle := 300 * time.Millisecond
+	if s.instances > 100 {
+		settle = 900 * time.Millisecond
+	}
+	c := newCluster(rand.New(rand.NewPCG(s.seed, 3)), s.instances, s.servers, s.lossRate, settle)
+	if s.instances > 100 {
+		c.sumTicks = 6
+	}
+	c.deadlyReturns, c.returnGap, c.endsEarly = s.returns, s.gap, s.endsEarly
+	// Twelve new requests, or more, arrive in the time that is played, and the last of them
+	// may come again.
+	steps := int((12*s.every+time.Duration(s.returns)*s.gap)/tick) + 260
+	beginStep := 20
+	if s.known {
+		c.harmless = true
+		beginStep = int(time.Minute / tick)
+		steps += beginStep
+	}
+	for step := range steps {
+		c.step = step
+		c.now = c.now.Add(tick)
+		c.exchange(step)
+		c.work()
+		c.arrive(0, 0)
+		if c.random.Float64() < s.sound-float64(int(s.sound)) {
+			c.arrive(0, 1)
+		}
+		c.arrive(0, int(s.sound))
+		if s.known && step == 10 {
+			c.arriveDeadly(s.deadly)
+		}
+		if step >= beginStep {
+			c.harmless = false
+			if (step-beginStep)%int(s.every/tick) == 0 {
+				c.arriveDeadly(s.deadly)
+			}
+			poisonScenario{poison: s.poison, often: 0.02, prompts: true}.arrive(c)
+		}
+		c.disturb(s.trouble, step-beginStep+20)
+	}
+	c.check(t, s.deadly)
+	if served := float64(c.soundServed) / float64(max(c.sound, 1)); s.trouble == noTrouble && c.sound > 100 && served < 0.9 {
+		t.Errorf("%.3f of %d sound requests were served, want 0.9", served, c.sound)
+	}
+}
+
+// arriveDeadly sends one new request with each deadly part.
+func (c *cluster) arriveDeadly(deadly int) {
+	for n := range deadly {
+		c.requests++
+		c.request(run{
+			instance: c.random.IntN(len(c.trackers)), id: fmt.Sprint("d", c.requests), parts: []uint64{1 + uint64(c.requests%3), firstDeadly + uint64(n)},
+			identity: uint64(c.requests),
+		})
+	}
+}
+
+// Guards against BUDGET of issue 33: servers end under a part of prompts, and the callers of such
+// requests come again. Each request takes the ends under it for its own, so that none of them
+// counts against the part.
+func TestPartOfRepeatedRequestsIsQuarantined(t *testing.T) {
+	seed := uint64(0)
+	for _, instances := range []int{1, 6} {
+		for _, every := range []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second} {
+			for _, returns := range []int{1, 3, 6} {
+				for _, gap := range []time.Duration{time.Second, 4 * time.Second} {
+					seed++
+					s := repeatScenario{instances: instances, servers: 18, seed: seed, deadly: 1, every: every, returns: returns, gap: gap, sound: 1}
+					t.Run(s.String(), func(t *testing.T) {
+						t.Parallel()
+						s.play(t)
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against BUDGET of issue 33: ends under a part are forgotten before five of them add up.
+func TestEndsFarApartAddUp(t *testing.T) {
+	for seed, every := range []time.Duration{4 * time.Second, 8 * time.Second, 20 * time.Second, time.Minute} {
+		for _, early := range []bool{false, true} {
+			for _, returns := range []int{0, 2} {
+				s := repeatScenario{instances: 6, servers: 18, seed: uint64(seed), deadly: 1, every: every, endsEarly: early, returns: returns, gap: time.Second, sound: 0.5}
+				t.Run(s.String(), func(t *testing.T) {
+					t.Parallel()
+					s.play(t)
+				})
+			}
+		}
+	}
+}
+
+// Guards against BUDGET of issue 33: servers end before the head of an answer, on a part that is
+// new or was answered a minute before; only answers that had begun counted against the latter.
+func TestEndsBeforeTheHeadAddUp(t *testing.T) {
+	seed := uint64(100)
+	for _, known := range []bool{false, true} {
+		for _, every := range []time.Duration{200 * time.Millisecond, 3 * time.Second} {
+			for _, returns := range []int{0, 2} {
+				seed++
+				s := repeatScenario{instances: 6, servers: 18, seed: seed, deadly: 1, every: every, endsEarly: true, known: known, returns: returns, gap: time.Second, sound: 1}
+				t.Run(s.String(), func(t *testing.T) {
+					t.Parallel()
+					s.play(t)
+				})
+			}
+		}
+	}
+}
+
+// Two deadly parts, a deadly request beside, messages lost, and servers lost for other reasons.
+func TestRepeatedRequestsAmongOtherTrouble(t *testing.T) {
+	seed := uint64(200)
+	for _, deadly := range []int{0, 1, 2} {
+		for _, poison := range []int{0, 1, 2} {
+			for _, trouble := range []string{noTrouble, zoneLost, lostInTurns} {
+				for _, every := range []time.Duration{300 * time.Millisecond, 5 * time.Second} {
+					seed++
+					s := repeatScenario{
+						instances: 6, servers: 18, seed: seed, lossRate: 0.1 * float64(seed%4), deadly: deadly, every: every, returns: int(seed % 4), gap: time.Second,
+						endsEarly: seed%2 == 0, sound: 1, poison: poison, trouble: trouble,
+					}
+					t.Run(s.String(), func(t *testing.T) {
+						t.Parallel()
+						s.play(t)
+					})
+				}
+			}
+		}
+	}
+}
+
+func TestManyInstancesQuarantinePartsOfRepeatedRequests(t *testing.T) {
+	for seed, every := range []time.Duration{200 * time.Millisecond, 2 * time.Second} {
+		s := repeatScenario{instances: 300, servers: 60, seed: uint64(300 + seed), lossRate: 0.1, deadly: 1 + seed, every: every, returns: 3, gap: time.Second, sound: 10}
+		t.Run(s.String(), func(t *testing.T) {
+			t.Parallel()
+			s.play(t)
+		})
+	}
+}
+
+// Guards against BUDGET of issue 33: one end under many requests with a part fills the losses
+// that are kept of it, so that the later ends do not count.
+func TestEndOfManyRequestsDoesNotHideLaterEnds(t *testing.T) {
+	tr := newTracker()
+	for n := range minMoments {
+		for request := range 2 * maxLosses {
+			tr.RecordLoss(Loss{Server: fmt.Sprint(n), Request: fmt.Sprint(n, "/", request), Parts: []uint64{666}}, at(500*n+request/8))
+		}
+	}
+	if !tr.holds(666, at(4000)) {
+		t.Errorf("not quarantined after %d ends under %d requests each", minMoments, 2*maxLosses)
+	}
+}
--- a/internal/serve/deadly_test.go
+++ b/internal/serve/deadly_test.go
@@ -88,3 +88,60 @@
 		}
 	})
 }
+
+// Guards against BUDGET of issue 33: the callers of requests with a part under which servers end
+// come again, so that each request is held responsible for its servers and none of them counts
+// against the part.
+func TestPartOfRepeatedRequestsIsNotSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		servers := &endingServers{
+			isDeadly: isDeadly, begins: true, endedAt: make(map[machine.ID]time.Time), endsOf: make(map[machine.ID]int64),
+			answer: func() *Answer {
+				a := ok(events(1, 2, 3))
+				a.Framing, a.Length = frame.Chunks, -1
+				return a
+			},
+		}
+		f := newFixture(18, nil)
+		servers.attach(f)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		sound, served := 0, 0
+		send := func(attempt string, n int, parts ...uint64) error {
+			req := request(resumable)
+			req.ID, req.Body, req.Prompt = attempt, fmt.Append(nil, n), promptOf(parts...)
+			return f.Serve(t.Context(), req, &fakeCaller{})
+		}
+		const (
+			callers = 15
+			returns = 4
+		)
+		for n := range callers {
+			wg.Go(func() {
+				for try := range returns {
+					_ = send(fmt.Sprint(n, "/", try), n, 1, deadlyPart, 1000+uint64(n))
+					time.Sleep(1200 * time.Millisecond)
+				}
+			})
+			for step := range 40 {
+				wg.Go(func() {
+					err := send(fmt.Sprint("s", n, "/", step), 1<<20+40*n+step, 1, 2, 2000+uint64(step))
+					mu.Lock()
+					defer mu.Unlock()
+					sound++
+					if err == nil {
+						served++
+					}
+				})
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		wg.Wait()
+		if late := servers.late(5); late > maxArrivals {
+			t.Errorf("%d requests with the part reached servers later than %v after the fifth of %d ends, want at most %d", late, contactTime, len(servers.ends), maxArrivals)
+		}
+		if served < sound*9/10 {
+			t.Errorf("%d of %d sound requests were served", served, sound)
+		}
+	})
+}
