repeated-part: the ends under a part count although each of its requests explains some of them

Cause: requests were judged before parts, and the servers that a quarantined request explained did not count against parts at all. When the callers of such requests came again, each request had its third end, was quarantined and took its ends with it, so that the part never had any.

Parts are now judged first, by all ends since their last answer: a part is quarantined if three requests or more would be needed to explain them, and the strongest one leaves three moments unexplained; a request counts there whether it has the part or not. Ends that a quarantined part explains no longer count against the requests that were there. One or two requests that end servers by themselves do not incriminate the part that they share.

--- a/internal/quarantine/exchange_test.go
+++ b/internal/quarantine/exchange_test.go
@@ -230,7 +230,7 @@
 	}
 	if r.deadly() != 0 {
 		if r.returns < c.deadlyReturns {
-			c.comeAgain(r, c.returnGap)
+			c.comeAgain(r, func() time.Duration { return c.returnGap })
 		}
 		return
 	}
@@ -238,17 +238,17 @@
 		c.lost[r.firstStep]++
 		return
 	}
-	c.comeAgain(r, time.Duration(200+c.random.IntN(800))*time.Millisecond)
+	c.comeAgain(r, func() time.Duration { return time.Duration(200+c.random.IntN(800)) * time.Millisecond })
 }
 
 // comeAgain lets the caller of a request come again, at any instance.
-func (c *cluster) comeAgain(r run, after time.Duration) {
+func (c *cluster) comeAgain(r run, after func() time.Duration) {
 	r.returns++
 	r.tries, r.acquired = 0, false
 	r.instance = c.random.IntN(len(c.trackers))
 	c.attempts++
 	r.id = fmt.Sprint("again", c.attempts)
-	c.returns = append(c.returns, returning{c.now.Add(after), r})
+	c.returns = append(c.returns, returning{c.now.Add(after()), r})
 }
 
 // work lets the servers answer, and end under deadly parts and requests.
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -29,18 +29,21 @@
 	if !t.changed && !isDue || now.Sub(t.judgedAt) < judgeInterval {
 		return
 	}
-	requests := evaluateRequests(t.requests.evidence, t.settleTime, now)
-	parts := evaluateParts(t.parts.evidence, requests.explained, t.settleTime, now)
+	requests := evaluateRequests(t.requests.evidence, nil, t.settleTime, now)
+	parts := evaluateParts(t.parts.evidence, requests.conclusive, t.settleTime, now)
+	if len(parts.quarantined) > 0 {
+		requests = evaluateRequests(t.requests.evidence, parts.explained, t.settleTime, now)
+	}
 	if !requests.dueAt.IsZero() {
 		parts.setDue(requests.dueAt)
 	}
 	t.changed, t.judgedAt, t.dueAt = false, now, parts.dueAt
-	t.logParts(parts, requests.explained, now)
+	t.logParts(parts, now)
 	before := t.view.Load()
 	v := &view{
 		isTracking:         len(t.parts.evidence)+len(t.requests.evidence) > 0,
 		isTrackingRequests: len(t.requests.evidence) > 0,
-		parts:              t.apply(partKind, t.parts, parts, &before.parts, now),
+		parts:              t.apply(partKind, t.parts, parts.judgment, &before.parts, now),
 		requests:           t.apply(requestKind, t.requests, requests.judgment, &before.requests, now),
 		waiting:            requests.waiting,
 		onTrial:            requests.onTrial,
@@ -96,7 +99,7 @@
 
 // logQuarantine logs that a part or a request is quarantined.
 func (t *Tracker) logQuarantine(k kind, id uint64, e *evidence, now time.Time) {
-	count := e.count(nil)
+	count := e.count(nil, nil)
 	t.log.WithFields(logrus.Fields{
 		"event": k.key + "_quarantined", k.key: FormatID(id), "moments": count.moments, "begun_moments": count.begunMoments, "requests": count.requests,
 		"servers": e.tallyRequest(nil).servers, "last_loss_age_ms": now.Sub(e.lastLossAt).Milliseconds(),
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -28,15 +28,15 @@
 
 // logParts logs the parts that came to a higher stage without being quarantined, with what
 // counts against them and what is explained by other parts and requests.
-func (t *Tracker) logParts(j judgment, explained map[uint32]bool, now time.Time) {
+func (t *Tracker) logParts(j partJudgment, now time.Time) {
 	for id, e := range t.parts.evidence {
 		if len(e.losses) < suspectMoments && e.logged == unsuspected {
 			continue
 		}
-		all := e.count(nil)
+		all := e.count(nil, nil)
 		stage := stageOf(all)
 		if stage > e.logged && !j.quarantined[id] {
-			t.logPart(id, e, all, e.count(explained), now)
+			t.logPart(id, e, all, e.count(j.explained, j.conclusive), now)
 		}
 		e.logged = stage
 	}
@@ -47,7 +47,7 @@
 func (t *Tracker) logPart(id uint64, e *evidence, all, left tally, now time.Time) {
 	fields := logrus.Fields{
 		"event": "part_suspected", "part": FormatID(id), "moments": all.moments, "begun_moments": all.begunMoments, "requests": all.requests,
-		"unexplained_moments": left.moments, "unexplained_requests": left.requests, "losses": len(e.losses),
+		"unexplained_moments": left.momentsLeft, "requests_needed": left.requestsNeeded, "losses": len(e.losses),
 		"first_loss_age_ms": now.Sub(all.since).Milliseconds(), "last_loss_age_ms": now.Sub(e.lastLossAt).Milliseconds(),
 	}
 	if !e.answeredAt.IsZero() {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,14 +11,17 @@
 	// momentTime is the time within which ends of servers count as one: a zone that is
 	// lost, for example.
 	momentTime = 100 * time.Millisecond
-	// A part is quarantined after minBegunMoments ends under minBegunRequests requests whose
-	// answers had begun, or after minMoments ends under minRequests others; one on which
-	// servers have answered before, after minMoments ends under minRequests requests whose
-	// answers had begun.
-	minBegunMoments  = 3
-	minBegunRequests = 2
-	minMoments       = 5
-	minRequests      = 4
+	// A part is quarantined after minBegunMoments ends under answers that had begun, or after
+	// minMoments ends under others; one on which servers have answered before, after minMoments
+	// ends under answers that had begun.
+	minBegunMoments = 3
+	minMoments      = 5
+	// minRequestsNeeded is the number of requests that would have to end servers by themselves
+	// to explain the ends in place of the part: one or two such requests are as likely.
+	minRequestsNeeded = 3
+	// minMomentsLeft is the number of ends that the strongest single request must leave
+	// unexplained.
+	minMomentsLeft = 3
 	// suspectMoments is the number of ends from which on requests with a part are not
 	// repeated.
 	suspectMoments = 2
@@ -31,18 +36,25 @@
 	// since is the time of the first loss that counts.
 	since time.Time
 	// begunMoments and moments are the numbers of times at which servers ended, with
-	// answers that had begun and in all; the requests are those that were there.
-	begunMoments, begunRequests int
-	moments, requests           int
+	// answers that had begun and in all; the requests are those with the part that were there.
+	begunMoments, moments, requests int
+	// requestsNeeded is the least number of requests that explain these ends if each of them
+	// ends servers by itself, at most minRequestsNeeded.
+	requestsNeeded int
+	// momentsLeft is the number of moments that the strongest request with a conclusive tally
+	// of its own does not explain.
+	momentsLeft int
 }
 
 // isConclusive reports whether requests with the part must not be sent any more.
 func (t tally) isConclusive() bool {
+	if t.requestsNeeded < minRequestsNeeded || t.momentsLeft < minMomentsLeft {
+		return false
+	}
 	if t.answered {
-		return t.begunMoments >= minMoments && t.begunRequests >= minRequests
+		return t.begunMoments >= minMoments
 	}
-	return t.begunMoments >= minBegunMoments && t.begunRequests >= minBegunRequests ||
-		t.moments >= minMoments && t.requests >= minRequests
+	return t.begunMoments >= minBegunMoments || t.moments >= minMoments
 }
 
 // exceeds reports whether t speaks more against its part than o. A part on which no answer
@@ -51,35 +63,81 @@
 	if t.answered != o.answered && o.moments > 0 {
 		return !t.answered
 	}
-	a := []int{t.begunMoments, t.begunRequests, t.moments, t.requests}
-	b := []int{o.begunMoments, o.begunRequests, o.moments, o.requests}
+	a := []int{t.begunMoments, t.moments, t.requests}
+	b := []int{o.begunMoments, o.moments, o.requests}
 	return slices.Compare(a, b) > 0
 }
 
 // count returns the tally of a part. Ends before its last answer do not count, and neither
-// do those of the servers in explained, which ended because of another part.
-func (e *evidence) count(explained map[uint32]bool) tally {
-	all, begun := make(map[uint32]time.Time), make(map[uint32]time.Time)
-	var since time.Time
-	requests, begunRequests := make(map[uint32]bool), make(map[uint32]bool)
-	for key, l := range e.losses {
-		if explained[key.server] || !l.at.After(e.answeredAt) {
-			continue
+// do those of the servers in explained, which ended because of another part. conclusive holds
+// the requests whose own tallies are conclusive, by the servers that ended under them.
+func (e *evidence) count(explained map[uint32]bool, conclusive map[uint32][]uint32) tally {
+	moments, since := e.moments(explained)
+	t := tally{answered: !e.answeredAt.IsZero(), since: since, moments: len(moments), momentsLeft: len(moments)}
+	withPart := make(map[uint32]bool)
+	var own requestCounts
+	for _, m := range moments {
+		if m.begun {
+			t.begunMoments++
 		}
-		if since.IsZero() || l.at.Before(since) {
-			since = l.at
+		maps.Copy(withPart, m.requests)
+		suspects := make(map[uint32]bool)
+		for server := range m.servers {
+			for _, request := range conclusive[server] {
+				suspects[request] = true
+			}
 		}
-		setEarliest(all, key.server, l.at)
-		requests[key.request] = true
-		if l.begun {
-			setEarliest(begun, key.server, l.at)
-			begunRequests[key.request] = true
+		own.add(suspects)
+		maps.Copy(m.requests, suspects)
+	}
+	t.requests = len(withPart)
+	t.requestsNeeded = requestsNeeded(moments)
+	_, most := own.most()
+	t.momentsLeft -= most
+	return t
+}
+
+// moment is a time at which servers ended under a part, with the requests that may have ended
+// them.
+type moment struct {
+	servers, requests map[uint32]bool
+	// begun is set if an answer had begun.
+	begun bool
+}
+
+// moments returns the moments at which servers ended under a part that count, and the time of
+// the first one.
+func (e *evidence) moments(explained map[uint32]bool) ([]moment, time.Time) {
+	ends := make(map[uint32]time.Time)
+	for key, l := range e.losses {
+		if !explained[key.server] && l.at.After(e.answeredAt) {
+			setEarliest(ends, key.server, l.at)
 		}
 	}
-	return tally{
-		answered: !e.answeredAt.IsZero(), since: since, begunMoments: countMoments(begun), begunRequests: len(begunRequests),
-		moments: countMoments(all), requests: len(requests),
+	if len(ends) == 0 {
+		return nil, time.Time{}
 	}
+	servers := slices.SortedFunc(maps.Keys(ends), func(a, b uint32) int {
+		return cmp.Or(ends[a].Compare(ends[b]), cmp.Compare(a, b))
+	})
+	var list []moment
+	of := make(map[uint32]int, len(ends))
+	var first time.Time
+	for _, server := range servers {
+		if len(list) == 0 || ends[server].Sub(first) > momentTime {
+			list = append(list, moment{servers: make(map[uint32]bool), requests: make(map[uint32]bool)})
+			first = ends[server]
+		}
+		of[server] = len(list) - 1
+		list[len(list)-1].servers[server] = true
+	}
+	for key, l := range e.losses {
+		if n, ok := of[key.server]; ok && l.at.After(e.answeredAt) {
+			list[n].requests[key.request] = true
+			list[n].begun = list[n].begun || l.begun
+		}
+	}
+	return list, ends[servers[0]]
 }
 
 func setEarliest(times map[uint32]time.Time, key uint32, at time.Time) {
@@ -88,70 +146,101 @@
 	}
 }
 
-// countMoments returns the number of moments at which servers ended.
-func countMoments(ends map[uint32]time.Time) int {
-	times := make([]time.Time, 0, len(ends))
-	for _, at := range ends {
-		times = append(times, at)
+// requestCounts counts the moments at which each request was there.
+type requestCounts map[uint32]int
+
+func (c *requestCounts) add(requests map[uint32]bool) {
+	if *c == nil {
+		*c = make(requestCounts)
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	n := 0
-	var first time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(first) > momentTime {
-			n++
-			first = at
+	for request := range requests {
+		(*c)[request]++
+	}
+}
+
+// most returns the request that was there at most moments, and how many; 0 and 0 if there is
+// none.
+func (c requestCounts) most() (request uint32, n int) {
+	for r, count := range c {
+		if count > n || count == n && r < request {
+			request, n = r, count
 		}
 	}
-	return n
+	return request, n
+}
+
+// requestsNeeded returns about the least number of requests of which one was there at each
+// moment, at most minRequestsNeeded: the request that was there most often is taken first.
+func requestsNeeded(moments []moment) int {
+	left := slices.Clone(moments)
+	for n := range minRequestsNeeded {
+		if len(left) == 0 {
+			return n
+		}
+		var counts requestCounts
+		for _, m := range left {
+			counts.add(m.requests)
+		}
+		request, _ := counts.most()
+		left = slices.DeleteFunc(left, func(m moment) bool { return m.requests[request] })
+	}
+	return minRequestsNeeded
 }
 
 // evaluateParts judges the parts. The part with the most evidence is judged first, and the
 // servers that ended under a quarantined part do not speak against the other parts that
-// were there: sound requests end with their servers. They are added to explained, which holds
-// those that ended because of a request. An answer on a part may be known settleTime later; until then
-// no part is quarantined.
-func evaluateParts(parts map[uint64]*evidence, explained map[uint32]bool, settleTime time.Duration, now time.Time) judgment {
-	quarantined, suspected := make(map[uint64]bool), make(map[uint64]bool)
-	var dueAt time.Time
+// were there: sound requests end with their servers. conclusive holds the requests whose own
+// tallies are conclusive, by the servers that ended under them. An answer on a part may be known
+// settleTime later; until then no part is quarantined.
+func evaluateParts(parts map[uint64]*evidence, conclusive map[uint32][]uint32, settleTime time.Duration, now time.Time) partJudgment {
+	j := partJudgment{judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool), conclusive: conclusive}
 	suspects := make(map[uint64]*evidence)
 	for id, e := range parts {
 		if len(e.losses) >= suspectMoments && e.lastLossAt.After(e.answeredAt) {
 			suspects[id] = e
 		}
 	}
-	for len(quarantined) < maxQuarantined {
-		id, most := strongest(suspects, quarantined, explained)
+	for len(j.quarantined) < maxQuarantined {
+		id, most := j.strongest(suspects)
 		if !most.isConclusive() {
 			break
 		}
 		if settled := most.since.Add(settleTime); settled.After(now) && !suspects[id].quarantined {
-			dueAt = settled
+			j.setDue(settled)
 			break
 		}
-		quarantined[id] = true
+		j.quarantined[id] = true
 		for key := range parts[id].losses {
-			explained[key.server] = true
+			j.explained[key.server] = true
 		}
 	}
 	for id, e := range suspects {
-		if !quarantined[id] && e.count(explained).moments >= suspectMoments {
-			suspected[id] = true
+		if !j.quarantined[id] && e.count(j.explained, conclusive).momentsLeft >= suspectMoments {
+			j.suspected[id] = true
 		}
 	}
-	return judgment{quarantined, suspected, dueAt}
+	return j
+}
+
+// partJudgment is what follows from the evidence on parts.
+type partJudgment struct {
+	judgment
+	// explained holds the servers that ended because of a quarantined part, and conclusive the
+	// requests whose own tallies are conclusive, by the servers that ended under them.
+	explained  map[uint32]bool
+	conclusive map[uint32][]uint32
 }
 
 // strongest returns the part with the most evidence against it among those that are not
 // quarantined and for which the evidence is conclusive; 0 if there is none.
-func strongest(parts map[uint64]*evidence, quarantined map[uint64]bool, explained map[uint32]bool) (uint64, tally) {
+func (j *partJudgment) strongest(parts map[uint64]*evidence) (uint64, tally) {
 	var best uint64
 	var most tally
 	for id, e := range parts {
-		if quarantined[id] {
+		if j.quarantined[id] {
 			continue
 		}
-		t := e.count(explained)
+		t := e.count(j.explained, j.conclusive)
 		if !t.isConclusive() {
 			continue
 		}
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -191,3 +191,75 @@
 		t.Errorf("not quarantined after %d ends under %d requests each", minMoments, 2*maxLosses)
 	}
 }
+
+// losses records the ends of servers, 500 ms apart, under requests with the given parts.
+func (t *Tracker) losses(from int, identity uint64, ends int, parts ...uint64) {
+	for n := range ends {
+		ms := 500 * (from + n)
+		t.RecordLoss(Loss{
+			Server: fmt.Sprint(from + n), Request: fmt.Sprint(identity, "/", n), Identity: identity, SentAt: at(ms - 20), Parts: parts, Begun: true,
+		}, at(ms))
+	}
+}
+
+// Ends that one or two requests explain, with the part or without it, do not count against a
+// part on which no answer is known; those of a third one do.
+func TestWhichRequestsExplainTheEndsUnderAPart(t *testing.T) {
+	const part = 7
+	tests := map[string]struct {
+		play func(tr *Tracker)
+		want bool
+	}{
+		"two requests with the part": {func(tr *Tracker) {
+			tr.losses(0, 666, 6, part)
+			tr.losses(6, 667, 6, part)
+		}, false},
+		"three requests with the part": {func(tr *Tracker) {
+			tr.losses(0, 666, 3, part)
+			tr.losses(3, 667, 3, part)
+			tr.losses(6, 668, 1, part)
+		}, true},
+		"a request, and two ends by chance": {func(tr *Tracker) {
+			tr.losses(0, 666, 12, part)
+			tr.losses(12, 1, 1, part)
+			tr.losses(13, 2, 1, part)
+		}, false},
+		"a request without the part": {func(tr *Tracker) {
+			tr.losses(0, 666, 8)
+			for n := range 8 {
+				tr.losses(n, uint64(1+n), 1, part)
+			}
+		}, false},
+		"a request that was at some of the servers": {func(tr *Tracker) {
+			for n := range 8 {
+				tr.losses(n, uint64(1+n), 1, part)
+			}
+			tr.losses(0, 100, 3)
+		}, true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := newTracker()
+			tt.play(tr)
+			now := at(10_000)
+			tr.Expire(now)
+			if got := tr.holds(part, now); got != tt.want {
+				t.Errorf("the part is quarantined: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
+// The ends that a part explains do not count against the requests that it took with it.
+func TestPartExplainsTheEndsUnderRequests(t *testing.T) {
+	tr := newTracker()
+	for n := range 8 {
+		tr.losses(n, uint64(1+n), 1, 666)
+	}
+	tr.losses(1, 100, 3, 2)
+	now := at(5000)
+	tr.Expire(now)
+	if !tr.holds(666, now) || tr.holdsRequest(100, now) {
+		t.Errorf("the part is held: %v, a request that was there: %v, want only the first", tr.holds(666, now), tr.holdsRequest(100, now))
+	}
+}
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -109,12 +110,14 @@
 // the others that were there. Those with equal evidence are judged alike: which of them ends
 // the servers is not known. An answer may be known settleTime later; until then a request is
 // held back only for that time. A quarantine ends quarantineTime after the last end, but what
-// is known is kept, so that one more end renews it.
-func evaluateRequests(requests map[uint64]*evidence, settleTime time.Duration, now time.Time) requestJudgment {
+// is known is kept, so that one more end renews it. byParts holds the servers that ended because
+// of a part of prompts; they do not speak against a request.
+func evaluateRequests(requests map[uint64]*evidence, byParts map[uint32]bool, settleTime time.Duration, now time.Time) requestJudgment {
 	j := requestJudgment{
-		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool),
+		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool), conclusive: make(map[uint32][]uint32),
 		waiting: make(map[uint64]time.Time), onTrial: make(map[uint64]bool), ends: make(map[uint64]requestEnds),
 	}
+	maps.Copy(j.explained, byParts)
 	list := suspects(requests)
 	for first := 0; first < len(list); {
 		last := first + 1
@@ -143,8 +146,10 @@
 // requestJudgment is what follows from the evidence on requests.
 type requestJudgment struct {
 	judgment
-	// explained holds the servers that ended because of a quarantined request.
-	explained map[uint32]bool
+	// explained holds the servers that ended because of a quarantined request or part, and
+	// conclusive the requests whose tallies are conclusive, by the servers that ended under them.
+	explained  map[uint32]bool
+	conclusive map[uint32][]uint32
 	// waiting holds the requests that are quarantined unless an answer becomes known, and
 	// until when.
 	waiting map[uint64]time.Time
@@ -175,6 +180,11 @@
 func (j *requestJudgment) judge(s suspect, settleTime time.Duration, now time.Time) bool {
 	tally := s.tallyRequest(j.explained)
 	settled := tally.since.Add(settleTime)
+	if tally.isConclusive() {
+		for server := range endsOf(s.evidence).servers {
+			j.conclusive[server] = append(j.conclusive[server], uint32(s.id))
+		}
+	}
 	switch {
 	case tally.servers < minServers || len(j.quarantined) >= maxQuarantinedRequests:
 	case !tally.isConclusive():
