repeated-part: one end under many requests leaves room for the later ends under a part

Cause: 32 losses are kept of a part, the earliest. A server with 16 to 64 slots loses as many requests with one part at once, so that a single end filled the evidence and the following ones never counted. Now the loss that tells least is left out: one of the server with most losses, under a request that was at no other server. All instances choose alike; of losses at different servers the earliest stay, as before. TestEndOfManyRequestsDoesNotHideLaterEnds failed before: not quarantined after five ends.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,12 +1,16 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"kumquatyard/internal/gossip"
 )
 
-// maxLosses bounds the losses that are kept of a subject, the earliest since its last answer.
+// maxLosses bounds the losses that are kept of a subject since its last answer: of each server
+// those under requests that were at others too, and of all servers the earliest.
 const maxLosses = 32
 
 // lossKey identifies a loss by hashes of the server's incarnation and of the request: of a
@@ -57,7 +61,7 @@
 	}
 	if ok {
 		l.at = known.at
-	} else if !e.makeRoom(l.at) {
+	} else if !e.makeRoom(key, l) {
 		return false
 	}
 	e.losses[key] = l
@@ -65,26 +69,56 @@
 	return true
 }
 
-// makeRoom removes a loss if there are too many: one from before the last answer, or the
-// latest one if it is later than at. It reports whether a loss at that time can be added.
-func (e *evidence) makeRoom(at time.Time) bool {
+// makeRoom makes room for a loss if there are too many, and reports whether it can be added. It
+// removes one from before the last answer, or else the least one, unless that is the new loss.
+func (e *evidence) makeRoom(key lossKey, l loss) bool {
 	if len(e.losses) < maxLosses {
 		return true
 	}
-	var latest lossKey
-	var latestAt time.Time
-	for key, l := range e.losses {
-		if !l.at.After(e.answeredAt) {
-			delete(e.losses, key)
+	for known, loss := range e.losses {
+		if !loss.at.After(e.answeredAt) {
+			delete(e.losses, known)
 			return true
 		}
-		if l.at.After(latestAt) {
-			latest, latestAt = key, l.at
+	}
+	e.losses[key] = l
+	least := e.leastLoss()
+	delete(e.losses, least)
+	return least != key
+}
+
+// leastLoss returns the loss without which least is known: one of the server with most losses,
+// under a request that was at no other server if there is one; of servers with one loss each,
+// the latest. All instances choose alike, so that none learns again of what it removed.
+func (e *evidence) leastLoss() lossKey {
+	ofServer, ofRequest := make(map[uint32]int), make(map[uint32]int)
+	for key := range e.losses {
+		ofServer[key.server]++
+		ofRequest[key.request]++
+	}
+	compare := func(a, b lossKey) int {
+		first, second := e.losses[a], e.losses[b]
+		if n := cmp.Compare(ofServer[b.server], ofServer[a.server]); n != 0 {
+			return n
 		}
+		if ofServer[a.server] == 1 {
+			return cmp.Or(second.at.Compare(first.at), cmp.Compare(b.server, a.server))
+		}
+		return cmp.Or(
+			cmp.Compare(ofRequest[a.request], ofRequest[b.request]), compareBegun(first, second),
+			cmp.Compare(b.server, a.server), cmp.Compare(b.request, a.request),
+		)
 	}
-	if !at.Before(latestAt) {
-		return false
+	return slices.MinFunc(slices.Collect(maps.Keys(e.losses)), compare)
+}
+
+// compareBegun orders losses before the head of an answer before the others.
+func compareBegun(a, b loss) int {
+	switch {
+	case a.begun == b.begun:
+		return 0
+	case b.begun:
+		return -1
 	}
-	delete(e.losses, latest)
-	return true
+	return 1
 }
