repeated-part: ends under a part count for half an hour, as those under a request do

Cause: a loss counted against a part for 15 s and was told to others while younger than 7.5 s, so that ends some seconds apart were forgotten before five of them added up; the promise knows no such window. What an answer has cleared is still dropped after 15 s. Answers that other instances tell of are remembered as one's own are, also for parts without evidence. After the ten minutes of a quarantine the evidence stays, so that one more end renews it, as for requests; a test said that it is dropped by then, and now asks for that and for the end of the evidence. 1024 parts are tracked, since single losses stay longer; only suspected parts are told again each second.

--- a/internal/quarantine/answers.go
+++ b/internal/quarantine/answers.go
@@ -11,8 +11,11 @@
 
 func newAnswers() answers { return answers{recent: make(map[uint64]time.Time)} }
 
-// add records an answer on a part.
+// add records an answer on a part, unless a later one is known.
 func (a *answers) add(id uint64, at time.Time) {
+	if a.last(id).After(at) {
+		return
+	}
 	if len(a.recent) >= maxAnswers {
 		a.older, a.recent = a.recent, make(map[uint64]time.Time)
 	}
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// newsTime is how long news are in each message; all evidence is in the messages of
-	// the first fullTime of each second, for instances that have just started.
+	// newsTime is how long news are in each message; the evidence on suspected parts is in the
+	// messages of the first fullTime of each second, for instances that have just started.
 	newsTime = 1500 * time.Millisecond
 	fullTime = 200 * time.Millisecond
 	// maxMessageParts and maxMessageRequests bound the parts and the requests in a message.
@@ -20,12 +20,8 @@
 	maxMessageRequests = 48
 	// refreshInterval is how often what is known of suspected requests is told again.
 	refreshInterval = time.Second
-	// maxRequestLossAge is the age up to which losses of requests are accepted, for the same
-	// reason as maxLossAge.
-	maxRequestLossAge = requestRetention / 2
-	// maxLossAge is the age up to which losses of parts that are not quarantined are
-	// accepted. It is below lossRetention, so that instances do not tell each other of a
-	// loss for ever.
+	// maxLossAge is the age up to which losses are accepted. It is below lossRetention, so that
+	// instances do not tell each other of a loss for ever.
 	maxLossAge = lossRetention / 2
 )
 
@@ -48,7 +44,7 @@
 	full := now.Sub(now.Truncate(time.Second)) < fullTime
 	var ids []uint64
 	for id, e := range t.parts.evidence {
-		if now.Sub(e.changedAt) < newsTime || full {
+		if now.Sub(e.changedAt) < newsTime || full && len(e.losses) >= suspectMoments {
 			ids = append(ids, id)
 		}
 	}
@@ -130,27 +126,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, m := range list {
-		subjects, add, oldest := t.parts, t.addPartLoss, maxLossAge
-		switch {
-		case m.GetIsRequest():
-			subjects, add, oldest = t.requests, t.addRequestLoss, maxRequestLossAge
-		case m.GetQuarantined():
-			oldest = quarantineTime
+		addLoss, addAnswer := t.addPartLoss, t.addPartAnswer
+		if m.GetIsRequest() {
+			addLoss, addAnswer = t.addRequestLoss, t.addRequestAnswer
 		}
-		mergeLosses(m, add, oldest, now)
+		mergeLosses(m, addLoss, now)
 		if age := gossip.Age(m.GetAnsweredAgeMs()); age > 0 {
-			t.addAnswer(subjects, m.GetPart(), now.Add(-age), now)
+			addAnswer(m.GetPart(), now.Add(-age), now)
 		}
 	}
 	t.update(now)
 }
 
-// mergeLosses adds the losses of a message that are not older than oldest.
-func mergeLosses(m *pb.PartEvidence, add func(id uint64, key lossKey, l loss, now time.Time), oldest time.Duration, now time.Time) {
+// mergeLosses adds the losses of a message that are not too old.
+func mergeLosses(m *pb.PartEvidence, add func(id uint64, key lossKey, l loss, now time.Time), now time.Time) {
 	n := min(len(m.GetServers()), len(m.GetRequests()), len(m.GetAgesMs()), len(m.GetSentAgesMs()), len(m.GetBegun()))
 	for i := range n {
 		age := gossip.Age(m.GetAgesMs()[i])
-		if age >= oldest {
+		if age >= maxLossAge {
 			continue
 		}
 		key := lossKey{m.GetServers()[i], m.GetRequests()[i]}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -191,17 +191,18 @@
 // servers that ended under a quarantined part do not speak against the other parts that
 // were there: sound requests end with their servers. conclusive holds the requests whose own
 // tallies are conclusive, by the servers that ended under them. An answer on a part may be known
-// settleTime later; until then no part is quarantined.
+// settleTime later; until then no part is quarantined. A quarantine ends quarantineTime after the
+// last end, but what is known is kept, so that one more end renews it.
 func evaluateParts(parts map[uint64]*evidence, conclusive map[uint32][]uint32, settleTime time.Duration, now time.Time) partJudgment {
 	j := partJudgment{judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool), conclusive: conclusive}
-	suspects := make(map[uint64]*evidence)
+	suspects, judged := make(map[uint64]*evidence), make(map[uint64]bool)
 	for id, e := range parts {
 		if len(e.losses) >= suspectMoments && e.lastLossAt.After(e.answeredAt) {
 			suspects[id] = e
 		}
 	}
-	for len(j.quarantined) < maxQuarantined {
-		id, most := j.strongest(suspects)
+	for len(judged) < maxQuarantined {
+		id, most := j.strongest(suspects, judged)
 		if !most.isConclusive() {
 			break
 		}
@@ -209,13 +210,11 @@
 			j.setDue(settled)
 			break
 		}
-		j.quarantined[id] = true
-		for key := range parts[id].losses {
-			j.explained[key.server] = true
-		}
+		j.hold(id, parts[id], now)
+		judged[id] = true
 	}
 	for id, e := range suspects {
-		if !j.quarantined[id] && e.count(j.explained, conclusive).momentsLeft >= suspectMoments {
+		if !judged[id] && e.count(j.explained, conclusive).momentsLeft >= suspectMoments {
 			j.suspected[id] = true
 		}
 	}
@@ -231,13 +230,27 @@
 	conclusive map[uint32][]uint32
 }
 
+// hold holds a part responsible for the ends under it.
+func (j *partJudgment) hold(id uint64, e *evidence, now time.Time) {
+	until := e.lastLossAt.Add(quarantineTime)
+	if until.After(now) {
+		j.quarantined[id] = true
+		j.setDue(until)
+	} else {
+		j.suspected[id] = true
+	}
+	for key := range e.losses {
+		j.explained[key.server] = true
+	}
+}
+
 // strongest returns the part with the most evidence against it among those that are not
-// quarantined and for which the evidence is conclusive; 0 if there is none.
-func (j *partJudgment) strongest(parts map[uint64]*evidence) (uint64, tally) {
+// judged and for which the evidence is conclusive; 0 if there is none.
+func (j *partJudgment) strongest(parts map[uint64]*evidence, judged map[uint64]bool) (uint64, tally) {
 	var best uint64
 	var most tally
 	for id, e := range parts {
-		if j.quarantined[id] {
+		if judged[id] {
 			continue
 		}
 		t := e.count(j.explained, j.conclusive)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -23,18 +23,18 @@
 )
 
 const (
-	// lossRetention is how long a loss speaks against a part that is not quarantined.
-	lossRetention = 15 * time.Second
-	// quarantineTime is how long a part stays quarantined after its last loss.
+	// lossRetention is how long a loss speaks against a part or a request: ends may be minutes
+	// apart. clearedRetention is how long one of a part is kept that an answer has cleared,
+	// until all instances know of the answer.
+	lossRetention    = 30 * time.Minute
+	clearedRetention = 15 * time.Second
+	// quarantineTime is how long a part or a request stays quarantined after its last loss.
 	quarantineTime = 10 * time.Minute
-	// requestRetention is how long a loss speaks against a request. It is longer than for
-	// parts, since a request may come again after minutes, and no sound one shares it.
-	requestRetention = 30 * time.Minute
 	// judgeInterval is the least time between two judgments, which bounds their cost while
 	// many requests are lost at once.
 	judgeInterval = 10 * time.Millisecond
 	// maxParts and maxRequests bound the parts and the requests that are tracked.
-	maxParts    = 128
+	maxParts    = 1024
 	maxRequests = 1024
 )
 
@@ -99,7 +99,7 @@
 // New returns a Tracker that logs changes of its judgment.
 func New(log *logrus.Entry) *Tracker {
 	t := &Tracker{
-		log: log, parts: newSubjects(maxParts, lossRetention), requests: newSubjects(maxRequests, requestRetention),
+		log: log, parts: newSubjects(maxParts, lossRetention, clearedRetention), requests: newSubjects(maxRequests, lossRetention, lossRetention),
 		answers: newAnswers(), inFlight: make(map[uint64]bool),
 	}
 	t.view.Store(&view{})
@@ -182,12 +182,20 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range parts {
-		t.answers.add(id, now)
-		t.addAnswer(t.parts, id, now, now)
+		t.addPartAnswer(id, now, now)
 	}
 	t.update(now)
 }
 
+func (t *Tracker) addPartAnswer(id uint64, at, now time.Time) {
+	t.answers.add(id, at)
+	t.addAnswer(t.parts, id, at, now)
+}
+
+func (t *Tracker) addRequestAnswer(id uint64, at, now time.Time) {
+	t.addAnswer(t.requests, id, at, now)
+}
+
 // answerStep is by how much a later answer must exceed the known one to count as news.
 const answerStep = 500 * time.Millisecond
 
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -49,9 +49,18 @@
 	if !tr.holds(666, now.Add(quarantineTime/2)) {
 		t.Error("released early")
 	}
-	tr.Expire(now.Add(quarantineTime))
-	if tr.holds(666, now.Add(quarantineTime)) || len(tr.parts.evidence) != 0 {
-		t.Error("still quarantined long after the last end")
+	released := now.Add(quarantineTime)
+	tr.Expire(released)
+	if tr.holds(666, released) || !tr.Suspected([]uint64{666}) {
+		t.Error("still quarantined long after the last end, or not suspected any more")
+	}
+	tr.RecordLoss(Loss{Server: "another", Request: "r", Parts: []uint64{666}, Begun: true}, released.Add(time.Second))
+	if !tr.holds(666, released.Add(time.Second)) {
+		t.Error("not quarantined after one more end")
+	}
+	tr.Expire(released.Add(time.Second + lossRetention))
+	if len(tr.parts.evidence) != 0 {
+		t.Error("the evidence is kept for ever")
 	}
 }
 
--- a/internal/quarantine/repeated_test.go
+++ b/internal/quarantine/repeated_test.go
@@ -44,9 +44,9 @@
 		c.sumTicks = 6
 	}
 	c.deadlyReturns, c.returnGap, c.endsEarly = s.returns, s.gap, s.endsEarly
-	// Twelve new requests, or more, arrive in the time that is played, and the last of them
+	// Eight new requests, or more, arrive in the time that is played, and the last of them
 	// may come again.
-	steps := int((12*s.every+time.Duration(s.returns)*s.gap)/tick) + 260
+	steps := int((8*s.every+time.Duration(s.returns)*s.gap)/tick) + 260
 	beginStep := 20
 	if s.known {
 		c.harmless = true
--- a/internal/quarantine/requests.go
+++ b/internal/quarantine/requests.go
@@ -250,7 +250,7 @@
 func (t *Tracker) RecordRequestAnswer(identity uint64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.addAnswer(t.requests, identity, now, now)
+	t.addRequestAnswer(identity, now, now)
 	t.update(now)
 }
 
--- a/internal/quarantine/requests_test.go
+++ b/internal/quarantine/requests_test.go
@@ -191,7 +191,7 @@
 	if !tr.holdsRequest(7, released.Add(time.Second)) {
 		t.Error("not held back after one more end")
 	}
-	tr.Expire(released.Add(time.Second + requestRetention))
+	tr.Expire(released.Add(time.Second + lossRetention))
 	if tr.TracksRequests() {
 		t.Error("the evidence is kept for ever")
 	}
--- a/internal/quarantine/subjects.go
+++ b/internal/quarantine/subjects.go
@@ -10,12 +10,13 @@
 	evidence map[uint64]*evidence
 	// max bounds the subjects.
 	max int
-	// retention is how long a loss counts against a subject that is not quarantined.
-	retention time.Duration
+	// retention is how long a loss counts against a subject that is not quarantined, and
+	// cleared how long one is kept that an answer has cleared.
+	retention, cleared time.Duration
 }
 
-func newSubjects(limit int, retention time.Duration) *subjects {
-	return &subjects{evidence: make(map[uint64]*evidence), max: limit, retention: retention}
+func newSubjects(limit int, retention, cleared time.Duration) *subjects {
+	return &subjects{evidence: make(map[uint64]*evidence), max: limit, retention: retention, cleared: cleared}
 }
 
 // track returns the evidence on a subject; a new one was answered last at answeredAt. If
@@ -55,6 +56,14 @@
 	return e.lastLossAt.Before(o.lastLossAt)
 }
 
+// retentionOf returns how long a loss is kept after its server ended.
+func (s *subjects) retentionOf(e *evidence, l loss) time.Duration {
+	if l.at.After(e.answeredAt) {
+		return s.retention
+	}
+	return s.cleared
+}
+
 // expire drops old losses, and reports whether there were any. The evidence on quarantined
 // subjects is kept until the quarantine ends.
 func (s *subjects) expire(now time.Time) bool {
@@ -64,7 +73,7 @@
 			continue
 		}
 		before := len(e.losses)
-		maps.DeleteFunc(e.losses, func(_ lossKey, l loss) bool { return now.Sub(l.at) >= s.retention })
+		maps.DeleteFunc(e.losses, func(_ lossKey, l loss) bool { return now.Sub(l.at) >= s.retentionOf(e, l) })
 		if len(e.losses) == 0 {
 			delete(s.evidence, id)
 		}
