repeated-part: ends before the head of an answer count against a part that was answered before

Cause: once a part had been answered, only ends under answers that had begun counted against it, so that one under which servers end before they send a head was never quarantined. Five moments without an answer in between now suffice, begun or not; parts on which no answer is known still go first.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -11,9 +11,8 @@
 	// momentTime is the time within which ends of servers count as one: a zone that is
 	// lost, for example.
 	momentTime = 100 * time.Millisecond
-	// A part is quarantined after minBegunMoments ends under answers that had begun, or after
-	// minMoments ends under others; one on which servers have answered before, after minMoments
-	// ends under answers that had begun.
+	// A part is quarantined after minMoments ends, or after minBegunMoments ends under answers
+	// that had begun if servers have never answered on it.
 	minBegunMoments = 3
 	minMoments      = 5
 	// minRequestsNeeded is the number of requests that would have to end servers by themselves
@@ -51,10 +50,7 @@
 	if t.requestsNeeded < minRequestsNeeded || t.momentsLeft < minMomentsLeft {
 		return false
 	}
-	if t.answered {
-		return t.begunMoments >= minMoments
-	}
-	return t.begunMoments >= minBegunMoments || t.moments >= minMoments
+	return t.moments >= minMoments || !t.answered && t.begunMoments >= minBegunMoments
 }
 
 // exceeds reports whether t speaks more against its part than o. A part on which no answer
