repeated-part: parts that end the same servers, and servers that end in waves

A quarantined part explained all ends at which it was, also those under another deadly part: the latter was released, or never quarantined. A part now counts if all ends under it are conclusive and those that no other part explains need an explanation of their own. And servers that start again together end together, within 100 ms, which counted as one moment: after five ends, of which three are outside the largest moment and under as many requests, a part is quarantined as well.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -21,6 +21,11 @@
 	// minMomentsLeft is the number of ends that the strongest single request must leave
 	// unexplained.
 	minMomentsLeft = 3
+	// A part is also quarantined after the ends of minEndedServers servers of which
+	// minServersLeft ended at other moments than most of them, under as many requests: servers
+	// that start again together end together.
+	minEndedServers = 5
+	minServersLeft  = 3
 	// suspectMoments is the number of ends from which on requests with a part are not
 	// repeated.
 	suspectMoments = 2
@@ -43,11 +48,24 @@
 	// momentsLeft is the number of moments that the strongest request with a conclusive tally
 	// of its own does not explain.
 	momentsLeft int
+	// servers is the number of ended servers, and serversLeft, at most minServersLeft, that of
+	// the requests that are needed to explain those outside the moment with most of them, and
+	// which the strongest conclusive request does not explain.
+	servers, serversLeft int
+}
+
+// needsRequests reports whether the ends, if not under the part, are under more requests than are
+// likely to end servers by themselves at the same time.
+func (t tally) needsRequests() bool {
+	return t.requestsNeeded >= minRequestsNeeded || t.serversLeft >= minServersLeft
 }
 
 // isConclusive reports whether requests with the part must not be sent any more.
 func (t tally) isConclusive() bool {
-	if t.requestsNeeded < minRequestsNeeded || t.momentsLeft < minMomentsLeft {
+	if t.servers >= minEndedServers && t.serversLeft >= minServersLeft {
+		return true
+	}
+	if !t.needsRequests() || t.momentsLeft < minMomentsLeft {
 		return false
 	}
 	return t.moments >= minMoments || !t.answered && t.begunMoments >= minBegunMoments
@@ -68,123 +86,155 @@
 // do those of the servers in explained, which ended because of another part. conclusive holds
 // the requests whose own tallies are conclusive, by the servers that ended under them.
 func (e *evidence) count(explained map[uint32]bool, conclusive map[uint32][]uint32) tally {
-	moments, since := e.moments(explained)
-	t := tally{answered: !e.answeredAt.IsZero(), since: since, moments: len(moments), momentsLeft: len(moments)}
+	ends := e.serverEnds(explained, conclusive)
+	if len(ends) == 0 {
+		return tally{answered: !e.answeredAt.IsZero()}
+	}
+	moments := momentsOf(ends)
+	t := tally{answered: !e.answeredAt.IsZero(), since: ends[0].at, moments: len(moments), servers: len(ends)}
 	withPart := make(map[uint32]bool)
-	var own requestCounts
+	var suspects []map[uint32]bool
 	for _, m := range moments {
-		if m.begun {
+		if m.isBegun() {
 			t.begunMoments++
 		}
-		maps.Copy(withPart, m.requests)
-		suspects := make(map[uint32]bool)
-		for server := range m.servers {
-			for _, request := range conclusive[server] {
-				suspects[request] = true
-			}
-		}
-		own.add(suspects)
-		maps.Copy(m.requests, suspects)
+		suspects = append(suspects, m.all(func(end *serverEnd) map[uint32]bool { return end.suspects }))
+		maps.Copy(withPart, m.all(func(end *serverEnd) map[uint32]bool { return end.withPart }))
 	}
 	t.requests = len(withPart)
 	t.requestsNeeded = requestsNeeded(moments)
-	_, most := own.most()
-	t.momentsLeft -= most
+	strongest, left := withoutMost(suspects)
+	t.momentsLeft = len(left)
+	t.serversLeft = requestsNeeded(outsideLargest(moments, strongest))
 	return t
 }
 
-// moment is a time at which servers ended under a part, with the requests that may have ended
-// them.
-type moment struct {
-	servers, requests map[uint32]bool
-	// begun is set if an answer had begun.
+// serverEnd is the end of a server under a part.
+type serverEnd struct {
+	server uint32
+	at     time.Time
+	// withPart are the requests with the part that were there, and suspects those of all that
+	// were there whose own tallies are conclusive.
+	withPart, suspects map[uint32]bool
+	// begun is set if an answer to one of them had begun.
 	begun bool
 }
 
-// moments returns the moments at which servers ended under a part that count, and the time of
-// the first one.
-func (e *evidence) moments(explained map[uint32]bool) ([]moment, time.Time) {
-	ends := make(map[uint32]time.Time)
+// serverEnds returns the ends of servers under a part that count, in order.
+func (e *evidence) serverEnds(explained map[uint32]bool, conclusive map[uint32][]uint32) []*serverEnd {
+	of := make(map[uint32]*serverEnd)
 	for key, l := range e.losses {
-		if !explained[key.server] && l.at.After(e.answeredAt) {
-			setEarliest(ends, key.server, l.at)
+		if explained[key.server] || !l.at.After(e.answeredAt) {
+			continue
 		}
+		end := of[key.server]
+		if end == nil {
+			end = &serverEnd{server: key.server, at: l.at, withPart: make(map[uint32]bool), suspects: make(map[uint32]bool)}
+			of[key.server] = end
+			for _, request := range conclusive[key.server] {
+				end.suspects[request] = true
+			}
+		}
+		if l.at.Before(end.at) {
+			end.at = l.at
+		}
+		end.withPart[key.request] = true
+		end.begun = end.begun || l.begun
 	}
-	if len(ends) == 0 {
-		return nil, time.Time{}
-	}
-	servers := slices.SortedFunc(maps.Keys(ends), func(a, b uint32) int {
-		return cmp.Or(ends[a].Compare(ends[b]), cmp.Compare(a, b))
+	return slices.SortedFunc(maps.Values(of), func(a, b *serverEnd) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server))
 	})
+}
+
+// moment is a time at which servers ended under a part.
+type moment []*serverEnd
+
+// momentsOf returns the moments of ends, which are in order.
+func momentsOf(ends []*serverEnd) []moment {
 	var list []moment
-	of := make(map[uint32]int, len(ends))
-	var first time.Time
-	for _, server := range servers {
-		if len(list) == 0 || ends[server].Sub(first) > momentTime {
-			list = append(list, moment{servers: make(map[uint32]bool), requests: make(map[uint32]bool)})
-			first = ends[server]
-		}
-		of[server] = len(list) - 1
-		list[len(list)-1].servers[server] = true
-	}
-	for key, l := range e.losses {
-		if n, ok := of[key.server]; ok && l.at.After(e.answeredAt) {
-			list[n].requests[key.request] = true
-			list[n].begun = list[n].begun || l.begun
+	for _, end := range ends {
+		if last := len(list) - 1; last >= 0 && end.at.Sub(list[last][0].at) <= momentTime {
+			list[last] = append(list[last], end)
+			continue
 		}
+		list = append(list, moment{end})
 	}
-	return list, ends[servers[0]]
+	return list
 }
 
-func setEarliest(times map[uint32]time.Time, key uint32, at time.Time) {
-	if known, ok := times[key]; !ok || at.Before(known) {
-		times[key] = at
-	}
+func (m moment) isBegun() bool {
+	return slices.ContainsFunc(m, func(end *serverEnd) bool { return end.begun })
 }
 
-// requestCounts counts the moments at which each request was there.
-type requestCounts map[uint32]int
+// all returns the requests of all ends.
+func (m moment) all(requests func(*serverEnd) map[uint32]bool) map[uint32]bool {
+	all := make(map[uint32]bool)
+	for _, end := range m {
+		maps.Copy(all, requests(end))
+	}
+	return all
+}
 
-func (c *requestCounts) add(requests map[uint32]bool) {
-	if *c == nil {
-		*c = make(requestCounts)
+// outsideLargest returns the ends, each as a moment, that are not in the moment with most of
+// them, and at which a request was not there.
+func outsideLargest(moments []moment, request uint32) []moment {
+	largest := 0
+	for n, m := range moments {
+		if len(m) > len(moments[largest]) {
+			largest = n
+		}
 	}
-	for request := range requests {
-		(*c)[request]++
+	var left []moment
+	for n, m := range moments {
+		for _, end := range m {
+			if n != largest && !end.suspects[request] {
+				left = append(left, moment{end})
+			}
+		}
 	}
+	return left
 }
 
-// most returns the request that was there at most moments, and how many; 0 and 0 if there is
-// none.
-func (c requestCounts) most() (request uint32, n int) {
-	for r, count := range c {
-		if count > n || count == n && r < request {
-			request, n = r, count
+// withoutMost returns the request that was there at most moments, 0 if there is none, and the
+// moments at which it was not. Each moment is the set of the requests that were there.
+func withoutMost(moments []map[uint32]bool) (uint32, []map[uint32]bool) {
+	counts := make(map[uint32]int)
+	for _, there := range moments {
+		for request := range there {
+			counts[request]++
+		}
+	}
+	var most uint32
+	for request, n := range counts {
+		if n > counts[most] || n == counts[most] && request < most {
+			most = request
 		}
 	}
-	return request, n
+	if counts[most] == 0 {
+		return 0, moments
+	}
+	return most, slices.DeleteFunc(slices.Clone(moments), func(there map[uint32]bool) bool { return there[most] })
 }
 
 // requestsNeeded returns about the least number of requests of which one was there at each
 // moment, at most minRequestsNeeded: the request that was there most often is taken first.
 func requestsNeeded(moments []moment) int {
-	left := slices.Clone(moments)
-	for n := range minRequestsNeeded {
-		if len(left) == 0 {
-			return n
-		}
-		var counts requestCounts
-		for _, m := range left {
-			counts.add(m.requests)
-		}
-		request, _ := counts.most()
-		left = slices.DeleteFunc(left, func(m moment) bool { return m.requests[request] })
+	var left []map[uint32]bool
+	for _, m := range moments {
+		there := m.all(func(end *serverEnd) map[uint32]bool { return end.withPart })
+		maps.Copy(there, m.all(func(end *serverEnd) map[uint32]bool { return end.suspects }))
+		left = append(left, there)
+	}
+	n := 0
+	for len(left) > 0 && n < minRequestsNeeded {
+		_, left = withoutMost(left)
+		n++
 	}
-	return minRequestsNeeded
+	return n
 }
 
 // evaluateParts judges the parts. The part with the most evidence is judged first, and the
-// servers that ended under a quarantined part do not speak against the other parts that
+// servers that ended under a quarantined part do not alone speak against the other parts that
 // were there: sound requests end with their servers. conclusive holds the requests whose own
 // tallies are conclusive, by the servers that ended under them. An answer on a part may be known
 // settleTime later; until then no part is quarantined. A quarantine ends quarantineTime after the
@@ -198,11 +248,11 @@
 		}
 	}
 	for len(judged) < maxQuarantined {
-		id, most := j.strongest(suspects, judged)
-		if !most.isConclusive() {
+		id, since := j.strongest(suspects, judged)
+		if id == 0 {
 			break
 		}
-		if settled := most.since.Add(settleTime); settled.After(now) && !suspects[id].quarantined {
+		if settled := since.Add(settleTime); settled.After(now) && !suspects[id].quarantined {
 			j.setDue(settled)
 			break
 		}
@@ -240,22 +290,25 @@
 	}
 }
 
-// strongest returns the part with the most evidence against it among those that are not
-// judged and for which the evidence is conclusive; 0 if there is none.
-func (j *partJudgment) strongest(parts map[uint64]*evidence, judged map[uint64]bool) (uint64, tally) {
+// strongest returns the part with the most evidence against it among those that are not judged
+// and for which the evidence is conclusive, and the time of the first end under it; 0 if there is
+// none. Two parts may each end servers at which requests with the other one are, so that what
+// another part explains counts as long as some other ends need an explanation as well.
+func (j *partJudgment) strongest(parts map[uint64]*evidence, judged map[uint64]bool) (uint64, time.Time) {
 	var best uint64
 	var most tally
+	var since time.Time
 	for id, e := range parts {
 		if judged[id] {
 			continue
 		}
-		t := e.count(j.explained, j.conclusive)
-		if !t.isConclusive() {
+		all, own := e.count(nil, j.conclusive), e.count(j.explained, j.conclusive)
+		if !all.isConclusive() || !own.needsRequests() {
 			continue
 		}
-		if best == 0 || t.exceeds(most) || !most.exceeds(t) && id < best {
-			best, most = id, t
+		if best == 0 || own.exceeds(most) || !most.exceeds(own) && id < best {
+			best, most, since = id, own, all.since
 		}
 	}
-	return best, most
+	return best, since
 }
