odd-entry: an entry that no server can have written names no server, and costs none

Here no process ended, but ports beyond 65,535 and 0, host names, negative and huge numbers of slots, starts in the future and notices beyond any time were taken as they are, an error quoted the entry whole, and a server was lost with the next full list when an odd entry had taken the place of its own. The same holds for the entries of instances, whose addresses were looked up by name.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"errors"
+	"fmt"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,17 +170,22 @@
 	id        func(key string) machine.ID
 	snapshots *snapshotPublisher
 	log       *logrus.Entry
+	// unreadable holds the servers whose entries could not be decoded when they were read last.
+	unreadable map[machine.ID]bool
 }
 
 // Resync implements follow.Handler.
 func (h *serverHandler) Resync(items []store.Item, now, expiryGraceUntil time.Time) {
+	former := h.unreadable
+	h.unreadable = make(map[machine.ID]bool)
 	servers := make([]fleet.Server, 0, len(items))
 	for _, item := range items {
+		h.unreadable[h.id(item.Key)] = former[h.id(item.Key)]
 		if s, ok := h.tryDecode(item, now); ok {
 			servers = append(servers, s)
 		}
 	}
-	h.snapshots.update(func(r *fleet.Registry) { r.Resync(servers, expiryGraceUntil) })
+	h.snapshots.update(func(r *fleet.Registry) { r.Resync(servers, h.unreadable, expiryGraceUntil) })
 	h.log.WithFields(logrus.Fields{"event": "servers_read", "servers": len(servers), "after_outage": !expiryGraceUntil.IsZero()}).Info("all server entries read from the store")
 }
 
@@ -193,6 +201,7 @@
 func (h *serverHandler) apply(r *fleet.Registry, item store.Item, now, expiryGraceUntil time.Time) {
 	id := h.id(item.Key)
 	if item.Removed {
+		delete(h.unreadable, id)
 		h.log.WithFields(logrus.Fields{"event": "server_removed", "server": id, "revision": item.Revision.Number, "after_outage": !expiryGraceUntil.IsZero()}).Info("server entry was removed from the store")
 		r.Remove(id, expiryGraceUntil)
 		return
@@ -220,13 +229,24 @@
 	}).Info("server is new, restarted or changed its state")
 }
 
+// tryDecode decodes an entry. One that cannot be decoded is another writer's; it is logged once.
 func (h *serverHandler) tryDecode(item store.Item, now time.Time) (fleet.Server, bool) {
+	id := h.id(item.Key)
 	s, err := h.decode(item, now)
-	if err != nil {
-		h.log.WithError(err).WithFields(logrus.Fields{"event": "server_unreadable", "revision": item.Revision.Number}).Debug("server entry cannot be decoded; ignoring it")
-		return s, false
+	if err == nil {
+		delete(h.unreadable, id)
+		return s, true
+	}
+	if !h.unreadable[id] {
+		h.log.WithError(err).WithFields(logrus.Fields{
+			"event": "server_unreadable", "server": id, "revision": item.Revision.Number, "bytes": len(item.Value),
+		}).Warn("server entry cannot be decoded; ignoring it, and keeping what is known of the server")
+	}
+	if h.unreadable == nil {
+		h.unreadable = make(map[machine.ID]bool)
 	}
-	return s, true
+	h.unreadable[id] = true
+	return s, false
 }
 
 // memberHandler applies changes of the instances' entries.
@@ -238,25 +258,47 @@
 
 // Resync implements follow.Handler.
 func (h *memberHandler) Resync(items []store.Item, _, _ time.Time) {
+	former := h.members
 	h.members = make(map[string]*pb.Instance)
+	for _, item := range items {
+		if known := former[item.Key]; known != nil {
+			h.members[item.Key] = known
+		}
+	}
 	h.apply(items)
 }
 
 // Change implements follow.Handler.
 func (h *memberHandler) Change(items []store.Item, _, _ time.Time) { h.apply(items) }
 
+// errInvalidInstance means that an entry is not one that an instance writes.
+var errInvalidInstance = errors.New("the entry has no name, or no IPv4 address with a port")
+
+// decodeInstance decodes an instance's entry.
+func decodeInstance(value []byte) (*pb.Instance, error) {
+	var instance pb.Instance
+	if err := proto.Unmarshal(value, &instance); err != nil {
+		return nil, fmt.Errorf("decode the entry of an instance: %w", err)
+	}
+	address, err := netip.ParseAddrPort(instance.GetAddress())
+	if err != nil || !address.Addr().Is4() || address.Port() == 0 || instance.GetName() == "" {
+		return nil, errInvalidInstance
+	}
+	return &instance, nil
+}
+
 func (h *memberHandler) apply(items []store.Item) {
 	for _, item := range items {
 		if item.Removed {
 			delete(h.members, item.Key)
 			continue
 		}
-		var instance pb.Instance
-		if err := proto.Unmarshal(item.Value, &instance); err != nil {
-			h.log.WithError(err).WithField("key", item.Key).Warn("instance entry cannot be decoded; ignoring it")
+		instance, err := decodeInstance(item.Value)
+		if err != nil {
+			h.log.WithError(err).WithField("key", item.Key).Warn("instance entry cannot be decoded; ignoring it, and keeping what is known of the instance")
 			continue
 		}
-		h.members[item.Key] = &instance
+		h.members[item.Key] = instance
 	}
 	list := make([]*pb.Instance, 0, len(h.members))
 	for _, m := range h.members {
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"strconv"
@@ -117,6 +118,47 @@
 
 // A server that left during a gap of the watch is removed by the next list; one
 // whose lease may have expired in an outage is kept until the grace period ends.
+// Guards against servers that are lost since another writer's odd entry took the place of their
+// own (issue 33): it leaves the server as it was, whether it comes as a change or with the list,
+// and is logged once.
+func TestOddEntryLeavesItsServer(t *testing.T) {
+	var out bytes.Buffer
+	log := logrus.New()
+	log.SetOutput(&out)
+	snapshots := newSnapshotPublisher(quietLog())
+	snapshots.setConfig(fleet.NewConfig(1, nil, nil, nil, fleet.Limits{}), nil)
+	h := &serverHandler{
+		decode: decodeState, snapshots: snapshots, log: logrus.NewEntry(log),
+		id: func(key string) machine.ID { return machine.ID(strings.TrimPrefix(key, "servers/")) },
+	}
+	entry := func(id, state string) store.Item { return store.Item{Key: "servers/" + id, Value: []byte(state)} }
+	h.Resync([]store.Item{entry("a", "serving"), entry("b", "serving")}, now, time.Time{})
+	odd := []store.Item{entry("a", strings.Repeat("[", 1<<20)), entry("b", "serving"), entry("x", "odd")}
+	for range 5 {
+		h.Change(odd, now, time.Time{})
+		h.Resync(odd, now, time.Time{})
+	}
+	want := map[machine.ID]machine.Lifecycle{"a": machine.Serving, "b": machine.Serving}
+	if diff := cmp.Diff(want, serversOf(snapshots)); diff != "" {
+		t.Errorf("servers (-want +got):\n%s", diff)
+	}
+	if n := strings.Count(out.String(), "server_unreadable"); n != 2 {
+		t.Errorf("the two odd entries are logged %d times", n)
+	}
+	h.Change([]store.Item{entry("a", "serving")}, now, time.Time{})
+	h.Change(odd, now, time.Time{})
+	if n := strings.Count(out.String(), "server_unreadable"); n != 3 {
+		t.Errorf("an entry that became odd again is logged %d times in all, want 3", n)
+	}
+	if out.Len() > 10_000 {
+		t.Errorf("%d bytes are logged", out.Len())
+	}
+	h.Change([]store.Item{{Key: "servers/a", Removed: true}}, now, time.Time{})
+	if _, known := serversOf(snapshots)["a"]; known {
+		t.Error("the server is known after its odd entry was removed")
+	}
+}
+
 func TestResyncRemovesMissingServers(t *testing.T) {
 	snapshots := newSnapshotPublisher(quietLog())
 	snapshots.setConfig(fleet.NewConfig(1, nil, nil, nil, fleet.Limits{}), nil)
@@ -146,7 +188,7 @@
 	var members []*pb.Instance
 	h := &memberHandler{changed: func(m []*pb.Instance) { members = m }, log: quietLog()}
 	entry := func(name string) store.Item {
-		value, err := proto.Marshal(&pb.Instance{Name: name})
+		value, err := proto.Marshal(&pb.Instance{Name: name, Address: "10.0.0.1:7500"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -159,6 +201,34 @@
 	}
 }
 
+// An odd entry among those of the instances names none, and leaves the instance whose place it
+// takes as it was (issue 33).
+func TestOddInstanceEntries(t *testing.T) {
+	var members []*pb.Instance
+	h := &memberHandler{changed: func(m []*pb.Instance) { members = m }, log: quietLog()}
+	entry := func(key, name, address string) store.Item {
+		value, err := proto.Marshal(&pb.Instance{Name: name, Address: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return store.Item{Key: membersPrefix + key, Value: value}
+	}
+	h.Resync([]store.Item{entry("a", "a", "10.0.0.1:7500")}, now, time.Time{})
+	odd := []store.Item{
+		entry("a", "a", "10.0.0.1:99999"), entry("b", "", "10.0.0.2:7500"), entry("c", "c", "instance.example:7500"), entry("d", "d", "10.0.0.4:0"),
+		entry("e", "e", ""), {Key: membersPrefix + "f", Value: bytes.Repeat([]byte{0x0b}, 1<<16)},
+	}
+	h.Change(odd, now, time.Time{})
+	h.Resync(odd, now, time.Time{})
+	if len(members) != 1 || members[0].GetAddress() != "10.0.0.1:7500" {
+		t.Errorf("members = %v, want only a as it was", members)
+	}
+	h.Resync(nil, now, time.Time{})
+	if len(members) != 0 {
+		t.Errorf("members = %v after the entries were removed", members)
+	}
+}
+
 // Reloaded settings apply without a restart.
 func TestReloadChangesRetryBudget(t *testing.T) {
 	i := New(Options{
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -160,15 +160,15 @@
 }
 
 // Resync replaces the servers by a full list. It removes the servers that the list lacks,
-// as Remove does.
-func (r *Registry) Resync(list []Server, graceUntil time.Time) {
+// as Remove does, but for those in unreadable: their entries exist.
+func (r *Registry) Resync(list []Server, unreadable map[machine.ID]bool, graceUntil time.Time) {
 	present := make(map[machine.ID]bool, len(list))
 	for _, s := range list {
 		present[s.ID] = true
 		r.Report(s)
 	}
 	for id := range r.servers {
-		if !present[id] {
+		if !present[id] && !unreadable[id] {
 			r.Remove(id, graceUntil)
 		}
 	}
--- a/internal/fleet/servers_test.go
+++ b/internal/fleet/servers_test.go
@@ -48,7 +48,7 @@
 	r.Report(server("gone", 1, machine.Serving))
 	r.Report(server("left", 1, machine.Leaving))
 	until := start.Add(2 * time.Second)
-	r.Resync(nil, until)
+	r.Resync(nil, nil, until)
 	if r.Get("left") != nil {
 		t.Error("a leaving server without an entry is kept")
 	}
@@ -74,7 +74,7 @@
 	}
 	r := NewRegistry()
 	copied := []Server{report("left", 3, machine.Serving), report("unannounced", 3, machine.Serving), report("leaving", 3, machine.Serving), report("answered", 3, machine.Serving)}
-	r.Resync(copied, time.Time{})
+	r.Resync(copied, nil, time.Time{})
 	r.Report(report("left", 4, machine.Leaving))
 	r.Remove("left", time.Time{})
 	r.Remove("unannounced", time.Time{})
@@ -82,7 +82,7 @@
 	if !r.MarkLeaving(r.Get("answered")) {
 		t.Error("a server that said that it leaves was not marked")
 	}
-	r.Resync(copied, start.Add(2*time.Second))
+	r.Resync(copied, nil, start.Add(2*time.Second))
 	for _, id := range []machine.ID{"left", "unannounced"} {
 		if r.Get(id) != nil {
 			t.Errorf("the restored entry of %s brought the server back", id)
@@ -112,7 +112,7 @@
 func TestLostEntryMayReturnAfterTheGracePeriod(t *testing.T) {
 	r := NewRegistry()
 	r.Report(server("a", 1, machine.Serving))
-	r.Resync(nil, start)
+	r.Resync(nil, nil, start)
 	r.Expire(start)
 	if r.Get("a") != nil {
 		t.Fatal("the server is known after its grace period")
