upstream: an answer without an id is taken only on a connection that carried no other request

Such an answer now proves nothing, the request may have run, and the connection is closed.

TestEarlierRefusalSentAgain and TestAnswerBeforeTheRequest failed before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -62,6 +62,9 @@
 	busy     bool
 	unusable bool
 
+	// exchanges is the number of requests that were sent. It belongs to the exchange in progress.
+	exchanges int
+
 	// lastUsed is when the last exchange ended, and maxIdle how long the connection
 	// may stay idle. Both belong to the pool.
 	lastUsed time.Time
@@ -139,6 +142,10 @@
 	return true
 }
 
+// hasUnexpected reports whether bytes arrived, or the connection ended, before a request was
+// sent on a busy connection. If so, the connection must not be used.
+func (c *conn) hasUnexpected() bool { return len(c.ready) > 0 }
+
 // release marks the connection as idle.
 func (c *conn) release() {
 	c.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -31,11 +31,23 @@
 	// Wanted is called right before the request is written; if it returns false, the call
 	// fails with ErrUnwanted and nothing is sent. Nil means true.
 	Wanted func() bool
-	// Matches reports whether an answer belongs to this request. Answers that do not
-	// are skipped.
-	Matches func(*http.Response) bool
+	// Belongs tells whether an answer belongs to this request. Answers to others are skipped.
+	Belongs func(*http.Response) Belonging
 }
 
+// Belonging tells whether an answer belongs to a request.
+type Belonging int
+
+const (
+	// OtherRequest is the answer to another request.
+	OtherRequest Belonging = iota
+	// OwnRequest is the answer to the request.
+	OwnRequest
+	// UnnamedRequest is an answer that does not tell. It is taken for the request's only on
+	// a connection that carried no other request: a server may send an earlier answer again.
+	UnnamedRequest
+)
+
 // ErrUnwanted means that Call.Wanted returned false.
 var ErrUnwanted = errors.New("the server accepts no requests at present")
 
@@ -51,7 +63,7 @@
 // caller must close the body. Errors are *contract.Error. The connection is closed
 // when ctx is done before the body was read.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
-	c, err := p.get(ctx, call)
+	c, err := p.connect(ctx, call)
 	if errors.Is(err, ErrConnectionLimit) {
 		return nil, &contract.Error{Kind: contract.KindOverloaded, Verdict: contract.NotRun, Message: err.Error(), Err: err}
 	}
@@ -62,6 +74,7 @@
 		p.putUnused(call.Address, c)
 		return nil, &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.NotRun, Message: ErrUnwanted.Error(), Err: ErrUnwanted}
 	}
+	c.exchanges++
 	x := &exchange{pool: p, call: call, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, c.shut)
 	resp, err := x.run(ctx)
@@ -72,6 +85,25 @@
 	return resp, nil
 }
 
+// errUnexpectedBytes means that a server sent bytes before a request.
+var errUnexpectedBytes = errors.New("the server sent bytes, or ended the connection, before the request")
+
+// connect returns a connection for a call on which no byte has arrived: such bytes are no answer
+// to a request that was not sent yet.
+func (p *Pool) connect(ctx context.Context, call *Call) (*conn, error) {
+	for {
+		c, err := p.get(ctx, call)
+		if err != nil || !c.hasUnexpected() {
+			return c, err
+		}
+		isNew := c.exchanges == 0
+		p.close(call.Address, c)
+		if isNew {
+			return nil, errUnexpectedBytes
+		}
+	}
+}
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	pool    *Pool
@@ -162,10 +194,14 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if x.call.Matches(resp) {
+		belongs := x.call.Belongs(resp)
+		if belongs == OwnRequest || belongs == UnnamedRequest && x.conn.exchanges == 1 {
 			x.prepare(resp)
 			return resp, nil
 		}
+		if belongs == UnnamedRequest {
+			return nil, failure(contract.MayHaveRun, "an answer does not tell to which request of the connection it belongs", nil)
+		}
 		if err := frame.Discard(resp.Body, maxSkippedBytes); err != nil {
 			return nil, failure(contract.MayHaveRun, "an answer to another request could not be skipped", err)
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -76,7 +76,15 @@
 func call(address, id string, body []byte) *Call {
 	return &Call{
 		Address: address, Method: http.MethodPost, Target: "/a", Host: "h", Header: http.Header{"Id": {id}}, Body: body, NonIdempotent: true,
-		Matches: func(r *http.Response) bool { return r.Header.Get("Id") == id },
+		Belongs: func(r *http.Response) Belonging {
+			switch r.Header.Get("Id") {
+			case id:
+				return OwnRequest
+			case "":
+				return UnnamedRequest
+			}
+			return OtherRequest
+		},
 	}
 }
 
@@ -152,6 +160,78 @@
 	}
 }
 
+// Guards against refusals that are taken for another request's (issue 33): a faulty server sends an
+// earlier refusal once more on a kept connection, with or without the id of its request, and then
+// runs the next one. Nobody is told that the latter did not run.
+func TestEarlierRefusalSentAgain(t *testing.T) {
+	refuse := func(conn net.Conn, id string) {
+		if id != "" {
+			id = "Id: " + id + "\r\n"
+		}
+		fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 4\r\n\r\nfull", id)
+	}
+	for name, tt := range map[string]struct {
+		named    bool
+		againID  string
+		wantBody string
+	}{
+		"with its id":              {true, "1", "of 2"},
+		"without an id":            {false, "", ""},
+		"without the id it had":    {true, "", ""},
+		"with the id it had not":   {false, "1", "of 2"},
+		"with an id of no request": {true, "9", "of 2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+				if n == 0 && tt.named {
+					refuse(conn, r.Header.Get("Id"))
+					return true
+				}
+				if n == 0 {
+					refuse(conn, "")
+					return true
+				}
+				refuse(conn, tt.againID)
+				return echo(conn, r, n)
+			})
+			p := NewPool(DefaultSettings)
+			mustGet(t, p, call(s.address, "1", nil), "full")
+			body, err := get(t, p, call(s.address, "2", nil))
+			if tt.wantBody != "" {
+				if err != nil || body != tt.wantBody {
+					t.Errorf("answer %q, %v, want %q", body, err, tt.wantBody)
+				}
+				return
+			}
+			if err == nil || contract.VerdictOf(err) != contract.MayHaveRun {
+				t.Errorf("answer %q, error %v, want that it may have run", body, err)
+			}
+			mustGet(t, p, call(s.address, "3", nil), "full")
+			if s.conns.Load() != 2 {
+				t.Errorf("%d connections, want the first one to be closed", s.conns.Load())
+			}
+		})
+	}
+}
+
+// Bytes that arrived before a request was sent are no answer to it.
+func TestAnswerBeforeTheRequest(t *testing.T) {
+	s := serve(t, echo)
+	p := NewPool(DefaultSettings)
+	mustGet(t, p, call(s.address, "1", nil), "of 1")
+	c := call(s.address, "2", nil)
+	kept := p.popIdle(s.address, true)
+	if kept == nil {
+		t.Fatal("the connection was not kept")
+	}
+	kept.ready <- nil
+	p.put(s.address, kept)
+	mustGet(t, p, c, "of 2")
+	if s.conns.Load() != 2 {
+		t.Errorf("%d connections, want the first one to be closed", s.conns.Load())
+	}
+}
+
 func TestVerdicts(t *testing.T) {
 	silent := func(net.Conn, *http.Request, int) bool { return false }
 	tests := map[string]struct {
