serve: an answer of status 200 that does not continue a stream is not forwarded as its continuation

Answers with another status were kept out before; one with status 200 was forwarded whatever it was: of another media type, with events without ids, or from events on that the caller had. Nothing of such an answer reaches the caller now; another server continues, or the stream is reported as truncated.

--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -216,7 +216,8 @@
 	h.Resync([]store.Item{entry("a", "a", "10.0.0.1:7500")}, now, time.Time{})
 	odd := []store.Item{
 		entry("a", "a", "10.0.0.1:99999"), entry("b", "", "10.0.0.2:7500"), entry("c", "c", "instance.example:7500"), entry("d", "d", "10.0.0.4:0"),
-		entry("e", "e", ""), {Key: membersPrefix + "f", Value: bytes.Repeat([]byte{0x0b}, 1<<16)},
+		entry("e", "e", ""),
+		{Key: membersPrefix + "f", Value: bytes.Repeat([]byte{0x0b}, 1<<16)},
 	}
 	h.Change(odd, now, time.Time{})
 	h.Resync(odd, now, time.Time{})
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -27,7 +27,7 @@
 func (r *run) attempt(c candidate) (done bool, err error) {
 	s := r.server
 	r.tries++
-	r.currentServer, r.answerBegun, r.sentAt = c.server.ID, false, time.Time{}
+	r.currentServer, r.answerBegun, r.continued, r.sentAt = c.server.ID, false, r.lastEvent == "", time.Time{}
 	ctx, abort, stopTimer, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
@@ -73,7 +73,7 @@
 // forwarded: the caller would take the stream for complete.
 func (r *run) recordFailedResume(a *Answer, server *fleet.Server) error {
 	r.server.observe(server.ID, a.Status >= http.StatusInternalServerError)
-	return contract.Unavailable(contract.Ran, fmt.Sprintf("the server answered the resumed stream with status %d", a.Status), nil)
+	return contract.Unavailable(contract.Ran, fmt.Sprintf("the server answered the resumed stream with status %d and type %q", a.Status, mediaType(a.Header)), nil)
 }
 
 // maxConnections returns this instance's share of the connections that a server of
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -58,6 +58,11 @@
 	retryGranted bool
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent bool
+	// mediaType is that of the answer whose head was sent.
+	mediaType string
+	// continued is set once an event of the current attempt was seen to go on after lastEvent,
+	// and if there was none.
+	continued bool
 	// firstByte is the time from the arrival to the head of the answer.
 	firstByte time.Duration
 	// origin is what began the stream; nil before its first event.
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -335,6 +335,60 @@
 	}
 }
 
+// Guards against another answer in the middle of a stream (issue 33): one of the right status that
+// is not the continuation. Another server continues, or the stream is reported as truncated.
+func TestAnswerThatIsNotTheContinuationIsNotForwarded(t *testing.T) {
+	typed := func(name, body string) func() *Answer {
+		return func() *Answer {
+			a := ok(body)
+			a.Header.Set("Content-Type", name)
+			a.Framing, a.Length = frame.Chunks, -1
+			return a
+		}
+	}
+	const eventStream = "text/event-stream"
+	tests := map[string]func() *Answer{
+		"an error as text":          typed("text/plain", "failed\n\n"),
+		"an error as JSON":          typed("application/json", "{\"error\":\"failed\"}\n\n"),
+		"an error as an event":      typed(eventStream, "event: error\ndata: failed\n\n"),
+		"a head inside the body":    typed(eventStream, "HTTP/1.1 500 Failed\r\nContent-Length: 6\r\n\r\nfailed"),
+		"the stream from the start": typed(eventStream, events(1, 2, 3, 4)),
+		"the last event once more":  typed(eventStream, events(2, 3, 4)),
+		"no type":                   func() *Answer { return ok(events(3, 4)) },
+		"a comment, then an error":  typed(eventStream, ": wait\n\nevent: error\ndata: failed\n\n"),
+	}
+	for name, other := range tests {
+		for outcome, recovers := range map[string]bool{"another server continues": true, "all servers fail": false} {
+			t.Run(name+", "+outcome, func(t *testing.T) {
+				f := newFixture(3, func(n int, _ context.Context, _ *Attempt) (*Answer, error) {
+					switch {
+					case n == 0:
+						a := truncatedAfter(events(1, 2))
+						a.Header.Set("Content-Type", eventStream+"; charset=utf-8")
+						return a, nil
+					case n == 2 && recovers:
+						return typed(eventStream, ": wait\n\n"+events(3, 4))(), nil
+					default:
+						return other(), nil
+					}
+				})
+				c := &fakeCaller{}
+				route := resumable
+				route.MaxAttempts = 3
+				err := f.Serve(t.Context(), request(route), c)
+				got := strings.ReplaceAll(c.body.String(), ": wait\n\n", "")
+				want := events(1, 2)
+				if recovers {
+					want = events(1, 2, 3, 4)
+				}
+				if got != want || (err == nil) != recovers {
+					t.Errorf("caller got %q with error %v, want %q, complete: %v", got, err, want, recovers)
+				}
+			})
+		}
+	}
+}
+
 func TestTruncatedStreamIsReportedAsTruncated(t *testing.T) {
 	f := newFixture(3, func(int, context.Context, *Attempt) (*Answer, error) { return truncatedAfter(events(1)), nil })
 	if err := f.Serve(t.Context(), request(stream), &fakeCaller{}); !errors.Is(err, ErrTruncated) {
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -30,6 +30,9 @@
 	if !a.Authentic {
 		return false, r.recordUnauthenticated()
 	}
+	if r.headSent && mediaType(a.Header) != r.mediaType {
+		return false, r.recordFailedResume(a, server)
+	}
 	events := frame.NewEvents(a.Body, a.Framing)
 	a.Length = -1
 	registered := false
@@ -43,6 +46,9 @@
 			if err := r.confirmOrigin(server); err != nil {
 				return false, err
 			}
+			if err := r.checkContinuation(part); err != nil {
+				return false, err
+			}
 			if err := r.forward(a, part); err != nil {
 				return true, err
 			}
