--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -25,7 +25,7 @@
 func (i *Instance) self() *pb.Instance {
 	return &pb.Instance{
 		Name: i.Settings.Name, Incarnation: i.incarnation, Zone: i.Settings.Zone,
-		Address: i.Settings.PeersAddress, StatusAddress: i.Settings.MetricsAddress, LinkMbps: i.Settings.LinkMbps,
+		Address: i.Settings.PeersAddress, StatusAddress: i.Settings.MetricsAddress, LinkMbps: i.Settings.LinkMbps, DecodesZstd: true,
 	}
 }
 
--- a/internal/peers/changes.go
+++ b/internal/peers/changes.go
@@ -30,12 +30,14 @@
 func (e *Exchange) SendChanges(changes *pb.StoreChanges) time.Duration {
 	conn := e.conn.Load()
 	e.mu.Lock()
-	zoneAddresses := e.zoneAddresses(time.Now())
+	now := time.Now()
+	zoneAddresses := e.zoneAddresses(now)
+	encode := encoderFor(e.zoneMembers(now))
 	e.mu.Unlock()
 	if conn == nil || len(zoneAddresses) == 0 {
 		return 0
 	}
-	data, err := e.encodeForZone(changes, len(zoneAddresses))
+	data, err := e.encodeForZone(changes, encode, len(zoneAddresses))
 	if err != nil {
 		e.options.Log.WithError(err).Error("store changes cannot be encoded; not relaying them to the other instances of the zone")
 		return 0
@@ -46,22 +48,36 @@
 	return e.relayTime(len(data) * len(zoneAddresses))
 }
 
+// changesEncoder returns the datagram of changes.
+type changesEncoder func(*pb.StoreChanges) ([]byte, error)
+
+// encoderFor returns the encoder for instances: while builds run side by side, some may not
+// decode zstd frames.
+func encoderFor(members []*pb.Instance) changesEncoder {
+	for _, member := range members {
+		if !member.GetDecodesZstd() {
+			return encodeBlock
+		}
+	}
+	return encodeDense
+}
+
 // encodeForZone returns the datagram of changes for a number of instances. If it is too large
 // for them, it omits large values, which each instance reads from the store; if it still is,
 // it announces the revision only, and each instance reads all changes from the store.
-func (e *Exchange) encodeForZone(changes *pb.StoreChanges, instances int) ([]byte, error) {
+func (e *Exchange) encodeForZone(changes *pb.StoreChanges, encode changesEncoder, instances int) ([]byte, error) {
 	fits := func(data []byte) bool {
 		return len(data) <= maxDatagramBytes && proto.Size(changes) <= maxChangesBytes && e.relayTime(len(data)*instances) <= maxRelayTime
 	}
-	if data, err := encodeChanges(changes); err != nil || fits(data) {
+	if data, err := encode(changes); err != nil || fits(data) {
 		return data, err
 	}
 	omitLargeValues(changes)
-	if data, err := encodeChanges(changes); err != nil || fits(data) {
+	if data, err := encode(changes); err != nil || fits(data) {
 		return data, err
 	}
 	changes.After, changes.Items = changes.GetRevision(), nil
-	return encodeChanges(changes)
+	return encode(changes)
 }
 
 // omitLargeValues removes the values that have largeValueBytes or more.
@@ -73,8 +89,17 @@
 	}
 }
 
-// encodeChanges returns the datagram of changes, compressed.
-func encodeChanges(changes *pb.StoreChanges) ([]byte, error) {
+// encodeBlock returns the datagram of changes for instances of any build.
+func encodeBlock(changes *pb.StoreChanges) ([]byte, error) {
+	block, err := packed.Marshal(changes)
+	if err != nil {
+		return nil, err
+	}
+	return encodeDatagram(block)
+}
+
+// encodeDense returns the datagram of changes for instances that decode zstd frames.
+func encodeDense(changes *pb.StoreChanges) ([]byte, error) {
 	block, err := packed.Marshal(changes)
 	if err == nil && len(block) > denseBytes {
 		block, err = packed.MarshalDense(changes)
@@ -82,7 +107,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: block}})
+	return encodeDatagram(block)
+}
+
+func encodeDatagram(changes []byte) ([]byte, error) {
+	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: changes}})
 }
 
 // relayTime returns the time for which relayed bytes fill this instance's link.
--- a/internal/peers/changes_test.go
+++ b/internal/peers/changes_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"google.golang.org/protobuf/proto"
 
 	pb "kumquatyard/proto/kumquat/v1"
@@ -43,7 +44,7 @@
 	a, b := newInstance(t, "z0", "z"), newInstance(t, "z1", "z")
 	a.options.Self.LinkMbps = 200
 	sent := &pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{configItem(1750), serverItem(9)}}
-	data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), zoneOfTheLargeDeployment)
+	data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), encodeDense, zoneOfTheLargeDeployment)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -74,7 +75,7 @@
 			a, b := newInstance(t, "z0", "z"), newInstance(t, "z1", "z")
 			a.options.Self.LinkMbps = test.linkMbps
 			config := configItem(test.routes)
-			data, err := a.encodeForZone(&pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{config, serverItem(9)}}, zoneOfTheLargeDeployment)
+			data, err := a.encodeForZone(&pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{config, serverItem(9)}}, encodeDense, zoneOfTheLargeDeployment)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -101,7 +102,7 @@
 			for n := range servers {
 				m.Items = append(m.Items, serverItem(n))
 			}
-			data, err := a.encodeForZone(m, instances)
+			data, err := a.encodeForZone(m, encodeDense, instances)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -118,3 +119,40 @@
 		}
 	}
 }
+
+// Guards against batches of changes that an earlier build drops (issue 33): while one of the zone's
+// instances does not say that it decodes zstd frames, they are sent as S2 blocks, which all builds
+// decode, and the small changes among them arrive.
+func TestChangesForEarlierBuilds(t *testing.T) {
+	current := &pb.Instance{Name: "z0", DecodesZstd: true}
+	earlier := &pb.Instance{Name: "z1"}
+	sent := &pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{configItem(300), serverItem(9)}}
+	tests := map[string]struct {
+		members []*pb.Instance
+		dense   bool
+	}{
+		"builds side by side": {[]*pb.Instance{current, earlier}, false},
+		"one build":           {[]*pb.Instance{current, current}, true},
+	}
+	for name, tt := range tests {
+		a := newInstance(t, "z0", "z")
+		a.options.Self.LinkMbps = 200
+		data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), encoderFor(tt.members), 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var message pb.PeerMessage
+		if err := proto.Unmarshal(data, &message); err != nil {
+			t.Fatal(err)
+		}
+		plain, err := s2.Decode(nil, message.GetChanges())
+		if isBlock := err == nil; isBlock == tt.dense {
+			t.Errorf("%s: an S2 block: %v, want %v", name, isBlock, !tt.dense)
+			continue
+		}
+		var got pb.StoreChanges
+		if err := proto.Unmarshal(plain, &got); !tt.dense && (err != nil || !proto.Equal(&got, sent)) {
+			t.Errorf("%s: %d of %d items arrived, error %v", name, len(got.GetItems()), len(sent.GetItems()), err)
+		}
+	}
+}
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -99,7 +99,12 @@
 // lists and those whose states arrive.
 func (e *Exchange) zoneAddresses(now time.Time) []*net.UDPAddr {
 	names := make(map[string]bool)
-	addNames(names, e.zones[e.options.Self.GetZone()])
-	addNames(names, e.aggregator.Members(now))
+	addNames(names, e.zoneMembers(now))
 	return e.addressesOf(names)
 }
+
+// zoneMembers returns the instances of the zone that the store lists, and those that report to
+// this one; most are both.
+func (e *Exchange) zoneMembers(now time.Time) []*pb.Instance {
+	return slices.Concat(e.zones[e.options.Self.GetZone()], e.aggregator.Members(now))
+}
