--- a/test/soak/callers.go
+++ b/test/soak/callers.go
@@ -45,6 +45,8 @@
 	took        time.Duration
 	// instance is the address that the request was sent to.
 	instance string
+	// mixesVersions is set if the instance ran the build that mixes the versions of streams.
+	mixesVersions bool
 	// noAnswer is set when the connection ended before the response header.
 	noAnswer bool
 	// stream is what the caller has of the stream that the request began or resumed.
@@ -143,6 +145,7 @@
 
 func (c *caller) sendRequest(path string, s *received) outcome {
 	o := outcome{id: fmt.Sprintf("%016x", c.ids.Add(1)), path: path, at: time.Now(), instance: c.conn.RemoteAddr().String(), stream: s}
+	o.mixesVersions = c.fleet.mixesVersions(o.instance)
 	err := c.exchange(&o)
 	o.took = time.Since(o.at)
 	if err != nil {
--- a/test/soak/chaos.go
+++ b/test/soak/chaos.go
@@ -110,13 +110,18 @@
 func (c *chaos) restart(time.Duration) { c.withInstance("restart", c.stopAndStart) }
 
 func (c *chaos) stopAndStart(i *instance) {
+	c.stop(i)
+	c.start(i)
+}
+
+// stop stops an instance as planned work does.
+func (c *chaos) stop(i *instance) {
 	i.signal(syscall.SIGTERM)
 	if !i.awaitExit(graceS*time.Second + exitSlack) {
 		c.recorder.violation("%s did not exit within its grace period", i.name)
 		i.signal(syscall.SIGKILL)
 		i.awaitExit(exitSlack)
 	}
-	c.start(i)
 }
 
 func (c *chaos) kill(pause time.Duration) {
