soak: builds side by side have a configuration of 300 routes more, which relays compress

A zone with two instances has a relay; with four instances and a large configuration its batches are compressed.

--- a/test/soak/builds_test.go
+++ b/test/soak/builds_test.go
@@ -89,7 +89,10 @@
 func TestBuildsSideBySide(t *testing.T) {
 	for n, commit := range earlierBuilds {
 		t.Run(commit, func(t *testing.T) {
-			o := Options{Seed: uint64(100 + n), Duration: time.Second, Instances: 3, Callers: 12, Binary: buildOf(t, commit), MixingBinary: mixingBinary(t, commit)}
+			o := Options{
+				Seed: uint64(100 + n), Duration: time.Second, Instances: 4, Callers: 12, ExtraRoutes: 300,
+				Binary: buildOf(t, commit), MixingBinary: mixingBinary(t, commit),
+			}
 			course := []string{binary, o.Binary}
 			if *seedFlag != 0 {
 				o.Seed, o.Instances, o.Callers = *seedFlag, *instancesFlag, *callersFlag
--- a/test/soak/chaos.go
+++ b/test/soak/chaos.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,7 @@
 	version          int
 	routeAdded       bool
 	secondKeyAllowed bool
+	extraRoutes      int
 	// storeFaultsMu is held by the worker that changes the store's faults.
 	storeFaultsMu sync.Mutex
 }
@@ -324,6 +326,11 @@
 	if c.routeAdded {
 		routes = append(routes, standin.Route{Name: "added", Prefix: "/added/", Service: "lookup", Kind: standin.Idempotent, TimeoutMS: 1500, MaxAttempts: 2})
 	}
+	for n := range c.extraRoutes {
+		// The names are hard to compress, as the users' are.
+		name := standin.Seal(strconv.Itoa(n), []byte(strconv.Itoa(n)))
+		routes = append(routes, standin.Route{Name: name, Prefix: "/" + name + "/", Service: "lookup", Kind: standin.Idempotent, TimeoutMS: 1500, MaxAttempts: 2})
+	}
 	keys := []string{apiKey}
 	if c.secondKeyAllowed {
 		keys = append(keys, secondKey)
--- a/test/soak/servers_test.go
+++ b/test/soak/servers_test.go
@@ -39,7 +39,7 @@
 	for n, i := range f.instances {
 		i.setBuild(b.binaries[n%len(b.binaries)])
 	}
-	startFleet(t, f, r, 1, t.Logf)
+	startFleet(t, f, r, Options{Seed: 1}, t.Logf)
 	return f, r
 }
 
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -18,6 +18,8 @@
 	Unfenced bool
 	// Binary is the path of kumquat-entry.
 	Binary string
+	// ExtraRoutes is the number of routes that the configuration has and no caller uses.
+	ExtraRoutes int
 	// MixingBinary is the path of an earlier build that lets a stream go on at any version of the
 	// servers' software; the versions of streams that it has passed on are not checked.
 	MixingBinary string
@@ -29,9 +31,9 @@
 
 // startFleet writes the configuration, and starts the instances. It returns the source of
 // faults, which is not running yet.
-func startFleet(t testing.TB, f *fleet, r *recorder, seed uint64, logf func(format string, args ...any)) *chaos {
+func startFleet(t testing.TB, f *fleet, r *recorder, o Options, logf func(format string, args ...any)) *chaos {
 	t.Helper()
-	c := &chaos{fleet: f, recorder: r, random: newRandom(seed), version: 1, logf: logf}
+	c := &chaos{fleet: f, recorder: r, random: newRandom(o.Seed), version: 1, extraRoutes: o.ExtraRoutes, logf: logf}
 	c.writeConfig()
 	for _, i := range f.instances {
 		c.start(i)
@@ -47,7 +49,7 @@
 	var lines []string
 	var mu sync.Mutex
 	startedAt := time.Now()
-	c := startFleet(t, f, r, o.Seed, func(format string, args ...any) {
+	c := startFleet(t, f, r, o, func(format string, args ...any) {
 		mu.Lock()
 		defer mu.Unlock()
 		lines = append(lines, faultLine(time.Since(startedAt), format, args...))
