--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,9 +5,9 @@
 // A server that ends takes all requests with it that it was working on, so an end speaks
 // against each of them, and against each part of their prompts, unless they had been
 // answered; the last part of a prompt is its request's own and never counts. An answer
-// speaks for its request and parts again. The ends that a quarantined request or part
-// explains do not count against others; requests are judged first, since they are the more
-// specific. What an instance sees it tells the others, so that all judge by the same
+// speaks for its request and parts again. Parts are judged first, by whether one or two
+// requests would explain the ends as well; what a quarantined part explains does not count
+// against requests. What an instance sees it tells the others, so that all judge by the same
 // evidence.
 package quarantine
 
