--- a/internal/serve/deadly_test.go
+++ b/internal/serve/deadly_test.go
@@ -38,21 +38,39 @@
 	return p
 }
 
+// newDeadlyFixture returns 18 servers that end when they begin to answer on the deadly part.
+func newDeadlyFixture() (*fixture, *endingServers) {
+	servers := &endingServers{
+		isDeadly: isDeadly, begins: true, endedAt: make(map[machine.ID]time.Time), endsOf: make(map[machine.ID]int64),
+		answer: func() *Answer {
+			a := ok(events(1, 2, 3))
+			a.Framing, a.Length = frame.Chunks, -1
+			return a
+		},
+	}
+	f := newFixture(18, nil)
+	servers.attach(f)
+	return f, servers
+}
+
+// checkDeadly checks that few requests with the part reached servers late, and that most of the
+// sound ones were served.
+func (e *endingServers) checkDeadly(t *testing.T, sound, served int) {
+	t.Helper()
+	if late := e.late(5); late > maxArrivals {
+		t.Errorf("%d requests with the part reached servers later than %v after the fifth of %d ends, want at most %d", late, contactTime, len(e.ends), maxArrivals)
+	}
+	if served < sound*9/10 {
+		t.Errorf("%d of %d sound requests were served", served, sound)
+	}
+}
+
 // Guards against second1: requests that share a part of their prompts, under which each
 // server ends that begins to answer, were sent to one server after the other. Sound
 // requests that share their caller and their other parts are served meanwhile.
 func TestPartThatEndsServersIsNotSentOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		servers := &endingServers{
-			isDeadly: isDeadly, begins: true, endedAt: make(map[machine.ID]time.Time), endsOf: make(map[machine.ID]int64),
-			answer: func() *Answer {
-				a := ok(events(1, 2, 3))
-				a.Framing, a.Length = frame.Chunks, -1
-				return a
-			},
-		}
-		f := newFixture(18, nil)
-		servers.attach(f)
+		f, servers := newDeadlyFixture()
 		send := func(n int, parts ...uint64) error {
 			req := request(resumable)
 			req.ID, req.Body, req.Prompt = fmt.Sprint(n), fmt.Append(nil, n), promptOf(parts...)
@@ -80,12 +98,7 @@
 			time.Sleep(70 * time.Millisecond)
 		}
 		wg.Wait()
-		if late := servers.late(5); late > maxArrivals {
-			t.Errorf("%d requests with the part reached servers later than %v after the fifth of %d ends, want at most %d", late, contactTime, len(servers.ends), maxArrivals)
-		}
-		if served < sound*9/10 {
-			t.Errorf("%d of %d sound requests were served after the first seconds", served, sound)
-		}
+		servers.checkDeadly(t, sound, served)
 	})
 }
 
@@ -94,16 +107,7 @@
 // against the part.
 func TestPartOfRepeatedRequestsIsNotSentOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		servers := &endingServers{
-			isDeadly: isDeadly, begins: true, endedAt: make(map[machine.ID]time.Time), endsOf: make(map[machine.ID]int64),
-			answer: func() *Answer {
-				a := ok(events(1, 2, 3))
-				a.Framing, a.Length = frame.Chunks, -1
-				return a
-			},
-		}
-		f := newFixture(18, nil)
-		servers.attach(f)
+		f, servers := newDeadlyFixture()
 		var wg sync.WaitGroup
 		var mu sync.Mutex
 		sound, served := 0, 0
@@ -137,11 +141,6 @@
 			}
 		}
 		wg.Wait()
-		if late := servers.late(5); late > maxArrivals {
-			t.Errorf("%d requests with the part reached servers later than %v after the fifth of %d ends, want at most %d", late, contactTime, len(servers.ends), maxArrivals)
-		}
-		if served < sound*9/10 {
-			t.Errorf("%d of %d sound requests were served", served, sound)
-		}
+		servers.checkDeadly(t, sound, served)
 	})
 }
