--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -36,8 +36,9 @@
 	// changedAt is when this instance learned something new.
 	changedAt   time.Time
 	quarantined bool
-	// logged is the last stage of a part's evidence that was logged.
-	logged partStage
+	// logged is the last stage of a part's evidence that was logged, when it had loggedLosses.
+	logged       partStage
+	loggedLosses int
 	// isOwn is set if this instance saw a loss itself.
 	isOwn bool
 	// Telling counts the messages with this; it is used for requests only.
--- a/internal/quarantine/log.go
+++ b/internal/quarantine/log.go
@@ -30,9 +30,10 @@
 // counts against them and what is explained by other parts and requests.
 func (t *Tracker) logParts(j partJudgment, now time.Time) {
 	for id, e := range t.parts.evidence {
-		if len(e.losses) < suspectMoments && e.logged == unsuspected {
+		if len(e.losses) == e.loggedLosses {
 			continue
 		}
+		e.loggedLosses = len(e.losses)
 		all := e.count(nil, nil)
 		stage := stageOf(all)
 		if stage > e.logged && !j.quarantined[id] {
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -29,210 +28,12 @@
 	// suspectMoments is the number of ends from which on requests with a part are not
 	// repeated.
 	suspectMoments = 2
-	// maxQuarantined bounds the quarantined parts.
+	// maxQuarantined bounds the quarantined parts, and maxTallied those with more than two losses
+	// that are judged.
 	maxQuarantined = 16
+	maxTallied     = 128
 )
 
-// tally counts what speaks against a part.
-type tally struct {
-	// answered is set if an answer on the part is known, from before the losses.
-	answered bool
-	// since is the time of the first loss that counts.
-	since time.Time
-	// begunMoments and moments are the numbers of times at which servers ended, with
-	// answers that had begun and in all; the requests are those with the part that were there.
-	begunMoments, moments, requests int
-	// requestsNeeded is the least number of requests that explain these ends if each of them
-	// ends servers by itself, at most minRequestsNeeded.
-	requestsNeeded int
-	// momentsLeft is the number of moments that the strongest request with a conclusive tally
-	// of its own does not explain.
-	momentsLeft int
-	// servers is the number of ended servers, and serversLeft, at most minServersLeft, that of
-	// the requests that are needed to explain those outside the moment with most of them, and
-	// which the strongest conclusive request does not explain.
-	servers, serversLeft int
-}
-
-// needsRequests reports whether the ends, if not under the part, are under more requests than are
-// likely to end servers by themselves at the same time.
-func (t tally) needsRequests() bool {
-	return t.requestsNeeded >= minRequestsNeeded || t.serversLeft >= minServersLeft
-}
-
-// isConclusive reports whether requests with the part must not be sent any more.
-func (t tally) isConclusive() bool {
-	if t.servers >= minEndedServers && t.serversLeft >= minServersLeft {
-		return true
-	}
-	if !t.needsRequests() || t.momentsLeft < minMomentsLeft {
-		return false
-	}
-	return t.moments >= minMoments || !t.answered && t.begunMoments >= minBegunMoments
-}
-
-// exceeds reports whether t speaks more against its part than o. A part on which no answer
-// is known goes first: an answer on one that requests often share may be known late.
-func (t tally) exceeds(o tally) bool {
-	if t.answered != o.answered && o.moments > 0 {
-		return !t.answered
-	}
-	a := []int{t.begunMoments, t.moments, t.requests}
-	b := []int{o.begunMoments, o.moments, o.requests}
-	return slices.Compare(a, b) > 0
-}
-
-// count returns the tally of a part. Ends before its last answer do not count, and neither
-// do those of the servers in explained, which ended because of another part. conclusive holds
-// the requests whose own tallies are conclusive, by the servers that ended under them.
-func (e *evidence) count(explained map[uint32]bool, conclusive map[uint32][]uint32) tally {
-	ends := e.serverEnds(explained, conclusive)
-	if len(ends) == 0 {
-		return tally{answered: !e.answeredAt.IsZero()}
-	}
-	moments := momentsOf(ends)
-	t := tally{answered: !e.answeredAt.IsZero(), since: ends[0].at, moments: len(moments), servers: len(ends)}
-	withPart := make(map[uint32]bool)
-	var suspects []map[uint32]bool
-	for _, m := range moments {
-		if m.isBegun() {
-			t.begunMoments++
-		}
-		suspects = append(suspects, m.all(func(end *serverEnd) map[uint32]bool { return end.suspects }))
-		maps.Copy(withPart, m.all(func(end *serverEnd) map[uint32]bool { return end.withPart }))
-	}
-	t.requests = len(withPart)
-	t.requestsNeeded = requestsNeeded(moments)
-	strongest, left := withoutMost(suspects)
-	t.momentsLeft = len(left)
-	t.serversLeft = requestsNeeded(outsideLargest(moments, strongest))
-	return t
-}
-
-// serverEnd is the end of a server under a part.
-type serverEnd struct {
-	server uint32
-	at     time.Time
-	// withPart are the requests with the part that were there, and suspects those of all that
-	// were there whose own tallies are conclusive.
-	withPart, suspects map[uint32]bool
-	// begun is set if an answer to one of them had begun.
-	begun bool
-}
-
-// serverEnds returns the ends of servers under a part that count, in order.
-func (e *evidence) serverEnds(explained map[uint32]bool, conclusive map[uint32][]uint32) []*serverEnd {
-	of := make(map[uint32]*serverEnd)
-	for key, l := range e.losses {
-		if explained[key.server] || !l.at.After(e.answeredAt) {
-			continue
-		}
-		end := of[key.server]
-		if end == nil {
-			end = &serverEnd{server: key.server, at: l.at, withPart: make(map[uint32]bool), suspects: make(map[uint32]bool)}
-			of[key.server] = end
-			for _, request := range conclusive[key.server] {
-				end.suspects[request] = true
-			}
-		}
-		if l.at.Before(end.at) {
-			end.at = l.at
-		}
-		end.withPart[key.request] = true
-		end.begun = end.begun || l.begun
-	}
-	return slices.SortedFunc(maps.Values(of), func(a, b *serverEnd) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.server, b.server))
-	})
-}
-
-// moment is a time at which servers ended under a part.
-type moment []*serverEnd
-
-// momentsOf returns the moments of ends, which are in order.
-func momentsOf(ends []*serverEnd) []moment {
-	var list []moment
-	for _, end := range ends {
-		if last := len(list) - 1; last >= 0 && end.at.Sub(list[last][0].at) <= momentTime {
-			list[last] = append(list[last], end)
-			continue
-		}
-		list = append(list, moment{end})
-	}
-	return list
-}
-
-func (m moment) isBegun() bool {
-	return slices.ContainsFunc(m, func(end *serverEnd) bool { return end.begun })
-}
-
-// all returns the requests of all ends.
-func (m moment) all(requests func(*serverEnd) map[uint32]bool) map[uint32]bool {
-	all := make(map[uint32]bool)
-	for _, end := range m {
-		maps.Copy(all, requests(end))
-	}
-	return all
-}
-
-// outsideLargest returns the ends, each as a moment, that are not in the moment with most of
-// them, and at which a request was not there.
-func outsideLargest(moments []moment, request uint32) []moment {
-	largest := 0
-	for n, m := range moments {
-		if len(m) > len(moments[largest]) {
-			largest = n
-		}
-	}
-	var left []moment
-	for n, m := range moments {
-		for _, end := range m {
-			if n != largest && !end.suspects[request] {
-				left = append(left, moment{end})
-			}
-		}
-	}
-	return left
-}
-
-// withoutMost returns the request that was there at most moments, 0 if there is none, and the
-// moments at which it was not. Each moment is the set of the requests that were there.
-func withoutMost(moments []map[uint32]bool) (uint32, []map[uint32]bool) {
-	counts := make(map[uint32]int)
-	for _, there := range moments {
-		for request := range there {
-			counts[request]++
-		}
-	}
-	var most uint32
-	for request, n := range counts {
-		if n > counts[most] || n == counts[most] && request < most {
-			most = request
-		}
-	}
-	if counts[most] == 0 {
-		return 0, moments
-	}
-	return most, slices.DeleteFunc(slices.Clone(moments), func(there map[uint32]bool) bool { return there[most] })
-}
-
-// requestsNeeded returns about the least number of requests of which one was there at each
-// moment, at most minRequestsNeeded: the request that was there most often is taken first.
-func requestsNeeded(moments []moment) int {
-	var left []map[uint32]bool
-	for _, m := range moments {
-		there := m.all(func(end *serverEnd) map[uint32]bool { return end.withPart })
-		maps.Copy(there, m.all(func(end *serverEnd) map[uint32]bool { return end.suspects }))
-		left = append(left, there)
-	}
-	n := 0
-	for len(left) > 0 && n < minRequestsNeeded {
-		_, left = withoutMost(left)
-		n++
-	}
-	return n
-}
-
 // evaluateParts judges the parts. The part with the most evidence is judged first, and the
 // servers that ended under a quarantined part do not alone speak against the other parts that
 // were there: sound requests end with their servers. conclusive holds the requests whose own
@@ -240,36 +41,87 @@
 // settleTime later; until then no part is quarantined. A quarantine ends quarantineTime after the
 // last end, but what is known is kept, so that one more end renews it.
 func evaluateParts(parts map[uint64]*evidence, conclusive map[uint32][]uint32, settleTime time.Duration, now time.Time) partJudgment {
-	j := partJudgment{judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, explained: make(map[uint32]bool), conclusive: conclusive}
-	suspects, judged := make(map[uint64]*evidence), make(map[uint64]bool)
-	for id, e := range parts {
-		if len(e.losses) >= suspectMoments && e.lastLossAt.After(e.answeredAt) {
-			suspects[id] = e
+	j := partJudgment{
+		judgment: judgment{quarantined: make(map[uint64]bool), suspected: make(map[uint64]bool)}, judged: make(map[uint64]bool),
+		explained: make(map[uint32]bool), conclusive: conclusive,
+	}
+	suspects := partSuspects(parts)
+	candidates := make(map[uint64]tally)
+	for _, id := range suspects {
+		if len(parts[id].losses) < minBegunMoments {
+			break
+		}
+		if t := parts[id].count(nil, conclusive); t.isConclusive() {
+			candidates[id] = t
 		}
 	}
-	for len(judged) < maxQuarantined {
-		id, since := j.strongest(suspects, judged)
+	for len(j.judged) < maxQuarantined {
+		id := j.strongest(parts, candidates)
 		if id == 0 {
 			break
 		}
-		if settled := since.Add(settleTime); settled.After(now) && !suspects[id].quarantined {
+		if settled := candidates[id].since.Add(settleTime); settled.After(now) && !parts[id].quarantined {
 			j.setDue(settled)
 			break
 		}
 		j.hold(id, parts[id], now)
-		judged[id] = true
 	}
-	for id, e := range suspects {
-		if !judged[id] && e.count(j.explained, conclusive).momentsLeft >= suspectMoments {
+	for _, id := range suspects {
+		if !j.judged[id] && parts[id].isSuspected(j.explained, conclusive) {
 			j.suspected[id] = true
 		}
 	}
 	return j
 }
 
+// partSuspects returns the parts under which servers ended since their last answer, those with
+// most losses first: all with two losses, and maxTallied with more, which take longer to judge.
+func partSuspects(parts map[uint64]*evidence) []uint64 {
+	var pairs, more []uint64
+	for id, e := range parts {
+		switch {
+		case len(e.losses) < suspectMoments || !e.lastLossAt.After(e.answeredAt):
+		case len(e.losses) == suspectMoments:
+			pairs = append(pairs, id)
+		default:
+			more = append(more, id)
+		}
+	}
+	slices.SortFunc(more, func(a, b uint64) int {
+		return cmp.Or(cmp.Compare(len(parts[b].losses), len(parts[a].losses)), cmp.Compare(a, b))
+	})
+	return append(more[:min(len(more), maxTallied)], pairs...)
+}
+
+// isSuspected reports whether servers ended at several moments that neither another part nor a
+// single request explains.
+func (e *evidence) isSuspected(explained map[uint32]bool, conclusive map[uint32][]uint32) bool {
+	if len(e.losses) > suspectMoments {
+		return e.count(explained, conclusive).momentsLeft >= suspectMoments
+	}
+	// Most parts have two losses at most, and there may be many of them.
+	var first, last time.Time
+	servers := make(map[uint32]bool, suspectMoments)
+	for key, l := range e.losses {
+		servers[key.server] = true
+		if explained[key.server] || len(conclusive[key.server]) > 0 || !l.at.After(e.answeredAt) {
+			return false
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+	}
+	return len(servers) == suspectMoments && last.Sub(first) > momentTime
+}
+
 // partJudgment is what follows from the evidence on parts.
 type partJudgment struct {
 	judgment
+	// judged holds the parts that are held responsible for the ends under them.
+	judged map[uint64]bool
 	// explained holds the servers that ended because of a quarantined part, and conclusive the
 	// requests whose own tallies are conclusive, by the servers that ended under them.
 	explained  map[uint32]bool
@@ -278,6 +130,7 @@
 
 // hold holds a part responsible for the ends under it.
 func (j *partJudgment) hold(id uint64, e *evidence, now time.Time) {
+	j.judged[id] = true
 	until := e.lastLossAt.Add(quarantineTime)
 	if until.After(now) {
 		j.quarantined[id] = true
@@ -290,25 +143,25 @@
 	}
 }
 
-// strongest returns the part with the most evidence against it among those that are not judged
-// and for which the evidence is conclusive, and the time of the first end under it; 0 if there is
-// none. Two parts may each end servers at which requests with the other one are, so that what
+// strongest returns the candidate with the most evidence against it that is not judged; 0 if there
+// is none. Two parts may each end servers at which requests with the other one are, so that what
 // another part explains counts as long as some other ends need an explanation as well.
-func (j *partJudgment) strongest(parts map[uint64]*evidence, judged map[uint64]bool) (uint64, time.Time) {
+func (j *partJudgment) strongest(parts map[uint64]*evidence, candidates map[uint64]tally) uint64 {
 	var best uint64
 	var most tally
-	var since time.Time
-	for id, e := range parts {
-		if judged[id] {
+	for id, own := range candidates {
+		if j.judged[id] {
 			continue
 		}
-		all, own := e.count(nil, j.conclusive), e.count(j.explained, j.conclusive)
-		if !all.isConclusive() || !own.needsRequests() {
+		if len(j.explained) > 0 {
+			own = parts[id].count(j.explained, j.conclusive)
+		}
+		if !own.needsRequests() {
 			continue
 		}
 		if best == 0 || own.exceeds(most) || !most.exceeds(own) && id < best {
-			best, most, since = id, own, all.since
+			best, most = id, own
 		}
 	}
-	return best, since
+	return best
 }
