upstream: acquire itself rejects a connection on which bytes came before a request

A loop of its own around get did so right after acquire, with an error for new connections that could not occur there: no byte has arrived when a dial returns. get closes a connection that acquire rejects and takes the next one, as it did. Without the check TestAnswerBeforeTheRequest does not end.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -131,21 +131,18 @@
 }
 
 // acquire marks an idle connection as busy. It returns false if the connection is
-// unusable.
+// unusable, or if bytes arrived, or the connection ended, while it was being released: they
+// are no answer to a request that was not sent yet.
 func (c *conn) acquire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unusable {
+	if c.unusable || len(c.ready) > 0 {
 		return false
 	}
 	c.busy = true
 	return true
 }
 
-// hasUnexpected reports whether bytes arrived, or the connection ended, before a request was
-// sent on a busy connection. If so, the connection must not be used.
-func (c *conn) hasUnexpected() bool { return len(c.ready) > 0 }
-
 // release marks the connection as idle.
 func (c *conn) release() {
 	c.mu.Lock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -63,7 +63,7 @@
 // caller must close the body. Errors are *contract.Error. The connection is closed
 // when ctx is done before the body was read.
 func (p *Pool) Do(ctx context.Context, call *Call) (*http.Response, error) {
-	c, err := p.connect(ctx, call)
+	c, err := p.get(ctx, call)
 	if errors.Is(err, ErrConnectionLimit) {
 		return nil, &contract.Error{Kind: contract.KindOverloaded, Verdict: contract.NotRun, Message: err.Error(), Err: err}
 	}
@@ -85,25 +85,6 @@
 	return resp, nil
 }
 
-// errUnexpectedBytes means that a server sent bytes before a request.
-var errUnexpectedBytes = errors.New("the server sent bytes, or ended the connection, before the request")
-
-// connect returns a connection for a call on which no byte has arrived: such bytes are no answer
-// to a request that was not sent yet.
-func (p *Pool) connect(ctx context.Context, call *Call) (*conn, error) {
-	for {
-		c, err := p.get(ctx, call)
-		if err != nil || !c.hasUnexpected() {
-			return c, err
-		}
-		isNew := c.exchanges == 0
-		p.close(call.Address, c)
-		if isNew {
-			return nil, errUnexpectedBytes
-		}
-	}
-}
-
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	pool    *Pool
