--- a/internal/peers/changes.go
+++ b/internal/peers/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -30,14 +31,13 @@
 func (e *Exchange) SendChanges(changes *pb.StoreChanges) time.Duration {
 	conn := e.conn.Load()
 	e.mu.Lock()
-	now := time.Now()
-	zoneAddresses := e.zoneAddresses(now)
-	encode := encoderFor(e.zoneMembers(now))
+	members := e.zoneMembers(time.Now())
+	zoneAddresses := e.memberAddresses(members)
 	e.mu.Unlock()
 	if conn == nil || len(zoneAddresses) == 0 {
 		return 0
 	}
-	data, err := e.encodeForZone(changes, encode, len(zoneAddresses))
+	data, err := e.encodeForZone(changes, allDecodeZstd(members), len(zoneAddresses))
 	if err != nil {
 		e.options.Log.WithError(err).Error("store changes cannot be encoded; not relaying them to the other instances of the zone")
 		return 0
@@ -48,36 +48,29 @@
 	return e.relayTime(len(data) * len(zoneAddresses))
 }
 
-// changesEncoder returns the datagram of changes.
-type changesEncoder func(*pb.StoreChanges) ([]byte, error)
-
-// encoderFor returns the encoder for instances: while builds run side by side, some may not
-// decode zstd frames.
-func encoderFor(members []*pb.Instance) changesEncoder {
-	for _, member := range members {
-		if !member.GetDecodesZstd() {
-			return encodeBlock
-		}
-	}
-	return encodeDense
+// allDecodeZstd reports whether all instances say that they decode zstd frames: while builds run
+// side by side, some may not.
+func allDecodeZstd(members []*pb.Instance) bool {
+	return !slices.ContainsFunc(members, func(m *pb.Instance) bool { return !m.GetDecodesZstd() })
 }
 
 // encodeForZone returns the datagram of changes for a number of instances. If it is too large
 // for them, it omits large values, which each instance reads from the store; if it still is,
-// it announces the revision only, and each instance reads all changes from the store.
-func (e *Exchange) encodeForZone(changes *pb.StoreChanges, encode changesEncoder, instances int) ([]byte, error) {
+// it announces the revision only, and each instance reads all changes from the store. dense is set if
+// all of them decode zstd frames.
+func (e *Exchange) encodeForZone(changes *pb.StoreChanges, dense bool, instances int) ([]byte, error) {
 	fits := func(data []byte) bool {
 		return len(data) <= maxDatagramBytes && proto.Size(changes) <= maxChangesBytes && e.relayTime(len(data)*instances) <= maxRelayTime
 	}
-	if data, err := encode(changes); err != nil || fits(data) {
+	if data, err := encodeChanges(changes, dense); err != nil || fits(data) {
 		return data, err
 	}
 	omitLargeValues(changes)
-	if data, err := encode(changes); err != nil || fits(data) {
+	if data, err := encodeChanges(changes, dense); err != nil || fits(data) {
 		return data, err
 	}
 	changes.After, changes.Items = changes.GetRevision(), nil
-	return encode(changes)
+	return encodeChanges(changes, dense)
 }
 
 // omitLargeValues removes the values that have largeValueBytes or more.
@@ -89,29 +82,17 @@
 	}
 }
 
-// encodeBlock returns the datagram of changes for instances of any build.
-func encodeBlock(changes *pb.StoreChanges) ([]byte, error) {
+// encodeChanges returns the datagram of changes, compressed: as an S2 block, which all builds
+// decode, or with dense as a zstd frame if the block is large.
+func encodeChanges(changes *pb.StoreChanges, dense bool) ([]byte, error) {
 	block, err := packed.Marshal(changes)
-	if err != nil {
-		return nil, err
-	}
-	return encodeDatagram(block)
-}
-
-// encodeDense returns the datagram of changes for instances that decode zstd frames.
-func encodeDense(changes *pb.StoreChanges) ([]byte, error) {
-	block, err := packed.Marshal(changes)
-	if err == nil && len(block) > denseBytes {
+	if err == nil && dense && len(block) > denseBytes {
 		block, err = packed.MarshalDense(changes)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return encodeDatagram(block)
-}
-
-func encodeDatagram(changes []byte) ([]byte, error) {
-	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: changes}})
+	return proto.Marshal(&pb.PeerMessage{Body: &pb.PeerMessage_Changes{Changes: block}})
 }
 
 // relayTime returns the time for which relayed bytes fill this instance's link.
--- a/internal/peers/changes_test.go
+++ b/internal/peers/changes_test.go
@@ -44,7 +44,7 @@
 	a, b := newInstance(t, "z0", "z"), newInstance(t, "z1", "z")
 	a.options.Self.LinkMbps = 200
 	sent := &pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{configItem(1750), serverItem(9)}}
-	data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), encodeDense, zoneOfTheLargeDeployment)
+	data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), true, zoneOfTheLargeDeployment)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,7 +75,7 @@
 			a, b := newInstance(t, "z0", "z"), newInstance(t, "z1", "z")
 			a.options.Self.LinkMbps = test.linkMbps
 			config := configItem(test.routes)
-			data, err := a.encodeForZone(&pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{config, serverItem(9)}}, encodeDense, zoneOfTheLargeDeployment)
+			data, err := a.encodeForZone(&pb.StoreChanges{From: "z0", After: 1, Revision: 9, Items: []*pb.StoreItem{config, serverItem(9)}}, true, zoneOfTheLargeDeployment)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -102,7 +102,7 @@
 			for n := range servers {
 				m.Items = append(m.Items, serverItem(n))
 			}
-			data, err := a.encodeForZone(m, encodeDense, instances)
+			data, err := a.encodeForZone(m, true, instances)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -137,7 +137,7 @@
 	for name, tt := range tests {
 		a := newInstance(t, "z0", "z")
 		a.options.Self.LinkMbps = 200
-		data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), encoderFor(tt.members), 2)
+		data, err := a.encodeForZone(proto.Clone(sent).(*pb.StoreChanges), allDecodeZstd(tt.members), 2)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/peers/send.go
+++ b/internal/peers/send.go
@@ -180,7 +180,7 @@
 	fleet = e.aggregator.FleetSum(zone, stopping, now)
 	message := &pb.PeerMessage{Body: &pb.PeerMessage_Fleet{Fleet: fleet}}
 	e.sumBytes = proto.Size(message)
-	return append(due, datagram{message, e.zoneAddresses(now)}), fleet
+	return append(due, datagram{message, e.memberAddresses(e.zoneMembers(now))}), fleet
 }
 
 // isAggregator reports whether this instance or another one has chosen it.
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -95,11 +95,10 @@
 	return store.Revision{Era: era, Number: sum.GetReplayRevision()}
 }
 
-// zoneAddresses returns the addresses of the zone's other instances: those that the store
-// lists and those whose states arrive.
-func (e *Exchange) zoneAddresses(now time.Time) []*net.UDPAddr {
+// memberAddresses returns the addresses of instances of the zone, this one left out.
+func (e *Exchange) memberAddresses(members []*pb.Instance) []*net.UDPAddr {
 	names := make(map[string]bool)
-	addNames(names, e.zoneMembers(now))
+	addNames(names, members)
 	return e.addressesOf(names)
 }
 
