--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -73,7 +73,7 @@
 // forwarded: the caller would take the stream for complete.
 func (r *run) recordFailedResume(a *Answer, server *fleet.Server) error {
 	r.server.observe(server.ID, a.Status >= http.StatusInternalServerError)
-	return contract.Unavailable(contract.Ran, fmt.Sprintf("the server answered the resumed stream with status %d and type %q", a.Status, mediaType(a.Header)), nil)
+	return contract.Unavailable(contract.Ran, fmt.Sprintf("the server answered the resumed stream with status %d and type %q", a.Status, mediaType(a.Header.Get(headerContentType))), nil)
 }
 
 // maxConnections returns this instance's share of the connections that a server of
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -98,7 +98,7 @@
 		return nil
 	}
 	r.headSent = true
-	r.mediaType = mediaType(a.Header)
+	r.contentType = a.Header.Get(headerContentType)
 	r.firstByte = time.Since(r.req.Arrived)
 	firstByteSeconds.Update(r.firstByte.Seconds())
 	if err := r.caller.Begin(a.Status, a.Header, a.Length); err != nil {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -58,8 +58,8 @@
 	retryGranted bool
 	// headSent is set once the head of the answer was sent to the caller.
 	headSent bool
-	// mediaType is that of the answer whose head was sent.
-	mediaType string
+	// contentType is the header of the answer whose head was sent.
+	contentType string
 	// continued is set once an event of the current attempt was seen to go on after lastEvent,
 	// and if there was none.
 	continued bool
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"iter"
 	"time"
 
 	"kumquatyard/internal/contract"
@@ -12,16 +13,25 @@
 	"kumquatyard/internal/frame"
 )
 
+// eventIDs yields the ids of events, in order.
+func eventIDs(events []byte) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for line := range bytes.Lines(events) {
+			value, ok := bytes.CutPrefix(line, []byte("id:"))
+			if ok && !yield(string(bytes.TrimSpace(value))) {
+				return
+			}
+		}
+	}
+}
+
 // lastEventID returns the id of the last event that has one, or "".
 func lastEventID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if ok {
-			id = string(bytes.TrimSpace(value))
-		}
+	last := ""
+	for id := range eventIDs(events) {
+		last = id
 	}
-	return id
+	return last
 }
 
 // relayStream forwards events as they arrive. After a failure, a resumable stream
@@ -30,7 +40,7 @@
 	if !a.Authentic {
 		return false, r.recordUnauthenticated()
 	}
-	if r.headSent && mediaType(a.Header) != r.mediaType {
+	if r.headSent && mediaType(a.Header.Get(headerContentType)) != mediaType(r.contentType) {
 		return false, r.recordFailedResume(a, server)
 	}
 	events := frame.NewEvents(a.Body, a.Framing)
