--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -176,15 +177,15 @@
 
 // Resync implements follow.Handler.
 func (h *serverHandler) Resync(items []store.Item, now, expiryGraceUntil time.Time) {
-	former := h.unreadable
-	h.unreadable = make(map[machine.ID]bool)
+	listed := make(map[machine.ID]bool, len(items))
 	servers := make([]fleet.Server, 0, len(items))
 	for _, item := range items {
-		h.unreadable[h.id(item.Key)] = former[h.id(item.Key)]
+		listed[h.id(item.Key)] = true
 		if s, ok := h.tryDecode(item, now); ok {
 			servers = append(servers, s)
 		}
 	}
+	maps.DeleteFunc(h.unreadable, func(id machine.ID, _ bool) bool { return !listed[id] })
 	h.snapshots.update(func(r *fleet.Registry) { r.Resync(servers, h.unreadable, expiryGraceUntil) })
 	h.log.WithFields(logrus.Fields{"event": "servers_read", "servers": len(servers), "after_outage": !expiryGraceUntil.IsZero()}).Info("all server entries read from the store")
 }
