--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -107,6 +107,7 @@
 }
 
 func encode(id uint64, e *evidence, now time.Time) *pb.PartEvidence {
+	// Earlier builds take older losses if Quarantined is set.
 	m := &pb.PartEvidence{Part: id, Quarantined: e.quarantined}
 	for key, l := range e.losses {
 		m.Servers = append(m.Servers, key.server)
