standin: free ports are found in one place; the soak's earlier builds are kept in a plain map

The tests of platform/ had repeated what the soak has, with another range of ports. Building an earlier commit needed neither a lock, as these tests do not run in parallel, nor mkdir as a process.

--- a/test/soak/builds_test.go
+++ b/test/soak/builds_test.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 )
@@ -26,17 +26,12 @@
 }
 
 // builtBinaries holds the binaries of earlier builds by commit.
-var builtBinaries struct {
-	sync.Mutex
-	of map[string]string
-}
+var builtBinaries = make(map[string]string)
 
 // buildOf returns the binary of kumquat-entry at a commit, built from the repository's history.
 func buildOf(t *testing.T, commit string) string {
 	t.Helper()
-	builtBinaries.Lock()
-	defer builtBinaries.Unlock()
-	if path := builtBinaries.of[commit]; path != "" {
+	if path := builtBinaries[commit]; path != "" {
 		return path
 	}
 	if err := exec.Command("git", "cat-file", "-e", commit+"^{commit}").Run(); err != nil {
@@ -44,16 +39,15 @@
 	}
 	root := command(t, ".", "git", "rev-parse", "--show-toplevel")
 	dir := filepath.Join(filepath.Dir(binary), commit)
-	command(t, ".", "mkdir", "-p", dir)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
 	archive := dir + ".tar"
 	command(t, root, "git", "archive", "--output", archive, commit)
 	command(t, dir, "tar", "-xf", archive)
 	path := filepath.Join(dir, "kumquat-entry")
 	command(t, dir, "go", "build", "-o", path, "./cmd/kumquat-entry")
-	if builtBinaries.of == nil {
-		builtBinaries.of = make(map[string]string)
-	}
-	builtBinaries.of[commit] = path
+	builtBinaries[commit] = path
 	return path
 }
 
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -168,48 +168,14 @@
 	f.instances = append(f.instances, i)
 }
 
-// ports allocates ports below the system's ephemeral range, so that a port stays
-// free between two starts of an instance. Its first port depends on the process
-// ID, to avoid the ports of concurrent test processes.
-var ports struct {
-	sync.Mutex
-	next int
-}
-
-const (
-	firstPort       = 10_000
-	portsPerProcess = 200
-	portRanges      = 100
-)
-
 // freePorts returns the first of n consecutive free ports.
 func freePorts(t testing.TB, n int) int {
 	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	if ports.next == 0 {
-		ports.next = firstPort + os.Getpid()%portRanges*portsPerProcess
-	}
-	for range portsPerProcess {
-		first := ports.next
-		ports.next += n
-		if free(first, n) {
-			return first
-		}
-	}
-	t.Fatalf("no %d consecutive free ports after %d attempts", n, portsPerProcess)
-	return 0
-}
-
-func free(first, n int) bool {
-	for port := first; port < first+n; port++ {
-		l, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			return false
-		}
-		_ = l.Close()
+	port, err := standin.FreePorts(n)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return true
+	return port
 }
 
 func freeAddress(t testing.TB) string {
