--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -111,8 +111,17 @@
 	r.handedOver = true
 	now := time.Now()
 	random := rand.New(rand.NewPCG(seed(), 0))
-	isDeclined := func(name string) bool { return r.server.declined.has(name, now) }
-	for _, helper := range chooseHelpers(r.server.Helpers(), r.server.Zone, isDeclined, random) {
+	leftOut := 0
+	isDeclined := func(name string) bool {
+		declined := r.server.declined.has(name, now)
+		if declined {
+			leftOut++
+		}
+		return declined
+	}
+	helpers := r.server.Helpers()
+	for _, helper := range chooseHelpers(helpers, r.server.Zone, isDeclined, random) {
+		r.offers++
 		answer, err := backend.HandOver(r.ctx, helper, r.req, r.req.MaxAttempts()-r.attempts)
 		if errors.Is(err, ErrDeclined) && r.ctx.Err() == nil {
 			r.server.declined.add(helper.Name, time.Now())
@@ -127,9 +136,19 @@
 		r.logHandOver(helper, "handled", err)
 		return true, err
 	}
+	r.logNoHelper(len(helpers), leftOut)
 	return false, nil
 }
 
+// logNoHelper logs that no other instance took the request. leftOut is the number of helpers to
+// which it was not offered, because they declined others lately.
+func (r *run) logNoHelper(helpers, leftOut int) {
+	r.server.Log.WithFields(logrus.Fields{
+		"event": "request_not_handed_over", "request": r.req.ID, "pool": r.pool, "offers": r.offers, "helpers": helpers, "left_out": leftOut,
+		"paths_lost": r.server.paths.Lost(), "ms": time.Since(r.req.Arrived).Milliseconds(),
+	}).Info("no other instance took the request")
+}
+
 // endHandedOver returns the outcome of a request that another instance has handled.
 func (r *run) endHandedOver(err error) error {
 	if err == nil || errors.Is(err, ErrTruncated) {
@@ -197,7 +216,7 @@
 func (r *run) logHandOver(helper Helper, outcome string, err error) {
 	countHandOver(outcome, err)
 	entry := r.server.Log.WithFields(logrus.Fields{
-		"event": "request_handed_over", "request": r.req.ID, "route": r.req.Route.Name, "pool": r.pool, "helper": helper.Name, "outcome": outcome,
+		"event": "request_handed_over", "request": r.req.ID, "route": r.req.Route.Name, "pool": r.pool, "helper": helper.Name, "helper_zone": helper.Zone, "offers": r.offers, "outcome": outcome,
 		"paths_lost": r.server.paths.Lost(), "unreached": r.unreached, "first_byte_ms": r.firstByte.Milliseconds(), "ms": time.Since(r.req.Arrived).Milliseconds(),
 	})
 	if err != nil {
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -50,8 +50,10 @@
 	mayHaveRun bool
 	// unreached counts the servers that the request could not be sent to, and handedOver is set
 	// once it was offered to other instances.
-	unreached    int
-	handedOver   bool
+	unreached  int
+	handedOver bool
+	// offers is the number of instances that the request was offered to.
+	offers       int
 	ran          bool
 	startCounted bool
 	// retryGranted is set when the retry budget has already granted the next attempt.
