handover: other instances are chosen by what is known of them and of their zones, without a fixed number of offers

Callers of instances whose whole zone had lost its paths were refused at 83 instances (0 of 240 at 12 requests a second), and served at 7. Cause: a request was offered to six instances at most, all of the own zone first, and each that declined was left out for 0.4 s only: with thirty others in the zone some of them could always be asked again, and no request ever came to another zone.

internal/handover keeps what is known: an instance that declines is left out for a pause that doubles up to 10 s, after which a single request tries it; after one offer in vain a request leaves its zone, and a zone in which three offers in a row were in vain is avoided the same way. Few instances that are left of a zone get no more of its work than they have by themselves. Offers end with the request's time.

TestRequestIsHandedOverWhilePathsAreLost expected all instances of the zone to be asked before another zone; it now expects one, then the other zone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/follow"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/handover"
 	"kumquatyard/internal/origin"
 	"kumquatyard/internal/peers"
 	"kumquatyard/internal/quarantine"
@@ -54,7 +56,9 @@
 	// brittle shares the room of servers that fall over when they turn requests away.
 	brittle *brittle.Tracker
 	// origins knows which versions of the servers' software began streams.
-	origins  *origin.Tracker
+	origins *origin.Tracker
+	// helpers knows which other instances may serve requests of this one.
+	helpers  *handover.Directory
 	core     *serve.Server
 	frontend Frontend
 	exchange *peers.Exchange
@@ -99,6 +103,7 @@
 		quarantine:  quarantine.New(o.Log),
 		limits:      ratelimit.New(o.Settings.Name, o.Log),
 		brittle:     brittle.New(o.Settings.Name, o.Log),
+		helpers:     handover.NewDirectory(o.Settings.Zone),
 		feed:        make(chan follow.Batch, feedBuffer),
 		startedAt:   now,
 		incarnation: uint64(now.UnixMilli()),
@@ -112,7 +117,7 @@
 	})
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
@@ -308,12 +313,12 @@
 	}
 }
 
-// helpers returns the other instances, which may serve requests of this one.
-func (i *Instance) helpers() []serve.Helper {
+// otherInstances returns the other instances, which may serve requests of this one.
+func (i *Instance) otherInstances() []handover.Helper {
 	others := i.exchange.Others()
-	list := make([]serve.Helper, len(others))
+	list := make([]handover.Helper, len(others))
 	for n, m := range others {
-		list[n] = serve.Helper{Name: m.GetName(), Zone: m.GetZone(), Address: m.GetAddress()}
+		list[n] = handover.Helper{Name: m.GetName(), Zone: m.GetZone(), Address: m.GetAddress()}
 	}
 	return list
 }
@@ -328,6 +333,7 @@
 	now := time.Now()
 	i.limits.SetInstances(names, now)
 	i.brittle.SetInstances(names, now)
+	i.helpers.Retain(func(name string) bool { return slices.Contains(names, name) })
 	i.setInstances(i.exchange.InstanceCount(now))
 }
 
--- a/internal/serve/cutzone_test.go
+++ b/internal/serve/cutzone_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"kumquatyard/internal/handover"
 )
 
 const (
@@ -29,11 +31,11 @@
 	perSecond float64
 }
 
-func (c cutFleet) helpers() (list []Helper, isCut map[string]bool) {
+func (c cutFleet) helpers() (list []handover.Helper, isCut map[string]bool) {
 	isCut = make(map[string]bool)
 	for z, count := range c.zones {
 		for n := range count {
-			h := Helper{Name: fmt.Sprintf("z%d-%d", z, n), Zone: fmt.Sprintf("z%d", z)}
+			h := handover.Helper{Name: fmt.Sprintf("z%d-%d", z, n), Zone: fmt.Sprintf("z%d", z)}
 			isCut[h.Name] = n < c.cut[z]
 			list = append(list, h)
 		}
@@ -54,7 +56,7 @@
 		defer mu.Unlock()
 		result.offers++
 	}}
-	f.Zone, f.Helpers = "z0", func() []Helper { return helpers }
+	f.Zone, f.Helpers, f.OtherInstances = "z0", handover.NewDirectory("z0"), func() []handover.Helper { return helpers }
 	f.paths.Judge(false)
 	var wg sync.WaitGroup
 	for range int(cutTime.Seconds() * c.perSecond) {
@@ -82,7 +84,7 @@
 }
 
 // HandOver implements HandOver.
-func (b offerCounter) HandOver(_ context.Context, helper Helper, _ *Request, _ int) (*Answer, error) {
+func (b offerCounter) HandOver(_ context.Context, helper handover.Helper, _ *Request, _ int) (*Answer, error) {
 	b.count()
 	time.Sleep(offerTime)
 	if b.isCut[helper.Name] {
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,72 +14,29 @@
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/frame"
+	"kumquatyard/internal/handover"
 )
 
-// Helper is another instance, which may serve requests of this one.
-type Helper struct {
-	Name string
-	Zone string
-	// Address is where it takes requests from other instances.
-	Address string
-}
-
 // HandOver is a Backend that can hand a request over to another instance, which serves it as its
 // own, at most once.
 type HandOver interface {
 	// HandOver returns the helper's answer. Its errors are *contract.Error, joined with
 	// ErrDeclined if the helper reaches no server either, or is starting or stopping.
 	// attempts is the number of servers to which the helper may send it.
-	HandOver(ctx context.Context, helper Helper, req *Request, attempts int) (*Answer, error)
+	HandOver(ctx context.Context, helper handover.Helper, req *Request, attempts int) (*Answer, error)
 }
 
 // ErrDeclined means that another instance cannot serve the requests of this one at present.
 var ErrDeclined = errors.New("the other instance serves no requests of this one at present")
 
-const (
-	// handOverTries is the number of helpers that a request is offered to.
-	handOverTries = 6
-	// declinedTime is how long a helper that declined, or was not reached, is left out.
-	declinedTime = 400 * time.Millisecond
-	// unreachedServers is the number of servers that a request could not be sent to, after
-	// which it is handed over although this instance may reach others.
-	unreachedServers = 2
-)
-
-// declinedHelpers holds the helpers that declined lately.
-type declinedHelpers struct{ until sync.Map } // name → time.Time
-
-func (d *declinedHelpers) add(name string, now time.Time) {
-	d.until.Store(name, now.Add(declinedTime))
-}
-
-func (d *declinedHelpers) has(name string, now time.Time) bool {
-	until, ok := d.until.Load(name)
-	return ok && now.Before(until.(time.Time))
-}
-
-// chooseHelpers returns helpers in the order in which a request is offered to them: at random,
-// those of the zone first, since traffic between zones costs more.
-func chooseHelpers(helpers []Helper, zone string, declined func(name string) bool, random *rand.Rand) []Helper {
-	var near, far []Helper
-	for _, n := range random.Perm(len(helpers)) {
-		h := helpers[n]
-		switch {
-		case declined(h.Name):
-		case h.Zone == zone:
-			near = append(near, h)
-		default:
-			far = append(far, h)
-		}
-	}
-	chosen := append(near, far...)
-	return chosen[:min(len(chosen), handOverTries)]
-}
+// unreachedServers is the number of servers that a request could not be sent to, after which it
+// is handed over although this instance may reach others.
+const unreachedServers = 2
 
 // mayHandOver reports whether the request may be handed over: neither has another instance handed
 // it over nor has its caller got a part of the answer, and it may be sent to one more server.
 func (r *run) mayHandOver() bool {
-	if r.req.HandedOver || r.handedOver || r.headSent || r.ctx.Err() != nil || r.server.Helpers == nil {
+	if r.req.HandedOver || r.handedOver || r.headSent || r.ctx.Err() != nil || r.server.OtherInstances == nil {
 		return false
 	}
 	return r.attempts < r.req.MaxAttempts() && (!r.mayHaveRun || r.req.Route.MayRepeat())
@@ -109,25 +65,20 @@
 		return false, nil
 	}
 	r.handedOver = true
-	now := time.Now()
-	random := rand.New(rand.NewPCG(seed(), 0))
-	leftOut := 0
-	isDeclined := func(name string) bool {
-		declined := r.server.declined.has(name, now)
-		if declined {
-			leftOut++
+	search := r.server.Helpers.Search(r.server.OtherInstances(), r.pool, rand.New(rand.NewPCG(seed(), 0)))
+	for r.ctx.Err() == nil {
+		helper, ok := search.Next(time.Now())
+		if !ok {
+			break
 		}
-		return declined
-	}
-	helpers := r.server.Helpers()
-	for _, helper := range chooseHelpers(helpers, r.server.Zone, isDeclined, random) {
 		r.offers++
 		answer, err := backend.HandOver(r.ctx, helper, r.req, r.req.MaxAttempts()-r.attempts)
 		if errors.Is(err, ErrDeclined) && r.ctx.Err() == nil {
-			r.server.declined.add(helper.Name, time.Now())
+			r.server.Helpers.Declined(helper, r.pool, time.Now())
 			r.logHandOver(helper, "declined", err)
 			continue
 		}
+		r.server.Helpers.Took(helper, r.pool)
 		if err == nil {
 			err = r.relayHandedOver(answer)
 		} else {
@@ -136,15 +87,16 @@
 		r.logHandOver(helper, "handled", err)
 		return true, err
 	}
-	r.logNoHelper(len(helpers), leftOut)
+	r.logNoHelper(search.LeftOut())
 	return false, nil
 }
 
 // logNoHelper logs that no other instance took the request. leftOut is the number of helpers to
-// which it was not offered, because they declined others lately.
-func (r *run) logNoHelper(helpers, leftOut int) {
+// which it was not offered, as they declined others lately or announced that they do not reach
+// the pool.
+func (r *run) logNoHelper(leftOut int) {
 	r.server.Log.WithFields(logrus.Fields{
-		"event": "request_not_handed_over", "request": r.req.ID, "pool": r.pool, "offers": r.offers, "helpers": helpers, "left_out": leftOut,
+		"event": "request_not_handed_over", "request": r.req.ID, "pool": r.pool, "offers": r.offers, "left_out": leftOut,
 		"paths_lost": r.server.paths.Lost(), "ms": time.Since(r.req.Arrived).Milliseconds(),
 	}).Info("no other instance took the request")
 }
@@ -213,7 +165,7 @@
 }
 
 // logHandOver logs and counts what became of a request that was offered to another instance.
-func (r *run) logHandOver(helper Helper, outcome string, err error) {
+func (r *run) logHandOver(helper handover.Helper, outcome string, err error) {
 	countHandOver(outcome, err)
 	entry := r.server.Log.WithFields(logrus.Fields{
 		"event": "request_handed_over", "request": r.req.ID, "route": r.req.Route.Name, "pool": r.pool, "helper": helper.Name, "helper_zone": helper.Zone, "offers": r.offers, "outcome": outcome,
--- a/internal/serve/handover_test.go
+++ b/internal/serve/handover_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/handover"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/reach"
 )
@@ -19,10 +19,10 @@
 	fakeBackend
 	offers   []string
 	attempts []int
-	help     func(helper Helper, req *Request) (*Answer, error)
+	help     func(helper handover.Helper, req *Request) (*Answer, error)
 }
 
-func (b *helpedBackend) HandOver(_ context.Context, helper Helper, req *Request, attempts int) (*Answer, error) {
+func (b *helpedBackend) HandOver(_ context.Context, helper handover.Helper, req *Request, attempts int) (*Answer, error) {
 	b.offers = append(b.offers, helper.Name)
 	b.attempts = append(b.attempts, attempts)
 	return b.help(helper, req)
@@ -32,19 +32,21 @@
 	return &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.NotRun, Message: "declined", Err: ErrDeclined}
 }
 
-func newHelpedFixture(help func(Helper, *Request) (*Answer, error)) (*fixture, *helpedBackend) {
+func newHelpedFixture(help func(handover.Helper, *Request) (*Answer, error)) (*fixture, *helpedBackend) {
 	b := &helpedBackend{help: help}
 	b.script = func(int, context.Context, *Attempt) (*Answer, error) { return nil, verdictError(contract.NotRun) }
 	f := newFixture(5, nil)
 	f.Backend = b
-	f.Helpers = func() []Helper { return []Helper{{"far", "y", ""}, {"near", "z", ""}, {"near2", "z", ""}} }
+	f.OtherInstances = func() []handover.Helper {
+		return []handover.Helper{{Name: "far", Zone: "y"}, {Name: "near", Zone: "z"}, {Name: "near2", Zone: "z"}}
+	}
 	return f, b
 }
 
-// While this instance reaches no server, a request goes to another instance at once, to those
-// of its zone first, and is not sent to a server (issue 30, RECOVER).
+// While this instance reaches no server, a request goes to another instance at once, to one of
+// its zone first, after which it leaves the zone, and is not sent to a server (issue 30, RECOVER).
 func TestRequestIsHandedOverWhilePathsAreLost(t *testing.T) {
-	f, b := newHelpedFixture(func(helper Helper, _ *Request) (*Answer, error) {
+	f, b := newHelpedFixture(func(helper handover.Helper, _ *Request) (*Answer, error) {
 		if helper.Name != "far" {
 			return nil, declined()
 		}
@@ -55,13 +57,16 @@
 	if err := f.Serve(t.Context(), request(once), caller); err != nil || caller.body.String() != "answer" {
 		t.Fatalf("answer %q, error %v, want that of the other instance", caller.body.String(), err)
 	}
-	if len(b.fakeBackend.attempts) != 0 || len(b.offers) != 3 || b.offers[2] != "far" {
-		t.Errorf("%d attempts, offers to %v, want none, and the other zone last", len(b.fakeBackend.attempts), b.offers)
+	if len(b.fakeBackend.attempts) != 0 || len(b.offers) != 2 || b.offers[1] != "far" {
+		t.Errorf("%d attempts, offers to %v, want none, and the other zone second", len(b.fakeBackend.attempts), b.offers)
 	}
 	if f.quotas.taken != 1 || f.quotas.refunded != 0 || f.usage.n != 0 {
 		t.Errorf("%v charged, %v refunded, %d starts counted; want one charge, and the start counted by the other instance", f.quotas.taken, f.quotas.refunded, f.usage.n)
 	}
 	b.offers = nil
+	for _, near := range f.OtherInstances()[1:] {
+		f.Helpers.Declined(near, "p", time.Now())
+	}
 	if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil || !slices.Equal(b.offers, []string{"far"}) {
 		t.Errorf("error %v, offers to %v, want none to those that have just declined", err, b.offers)
 	}
@@ -69,7 +74,7 @@
 
 // A request that no instance can serve is refused at once, as not run, and is not charged.
 func TestRequestThatNobodyServesIsRefusedAtOnce(t *testing.T) {
-	f, _ := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return nil, declined() })
+	f, _ := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return nil, declined() })
 	f.paths.Judge(false)
 	err := f.Serve(t.Context(), request(once), &fakeCaller{})
 	if contract.VerdictOf(err) != contract.NotRun || f.quotas.refunded != f.quotas.taken {
@@ -80,7 +85,7 @@
 // The other instance is lost after the request was handed over: it may have run, so that one
 // that is not idempotent is not handed over again.
 func TestRequestThatMayHaveRunIsNotHandedOverAgain(t *testing.T) {
-	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return nil, verdictError(contract.MayHaveRun) })
+	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return nil, verdictError(contract.MayHaveRun) })
 	f.paths.Judge(false)
 	err := f.Serve(t.Context(), request(once), &fakeCaller{})
 	if contract.VerdictOf(err) != contract.MayHaveRun || len(b.offers) != 1 {
@@ -103,7 +108,7 @@
 // Servers could not be reached though the paths are not known to be lost yet: the third try is
 // another instance.
 func TestRequestIsHandedOverAfterUnreachedServers(t *testing.T) {
-	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return ok("answer"), nil })
 	if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
 		t.Fatal(err)
 	}
@@ -115,7 +120,7 @@
 // A pool whose servers this instance does not reach, one by one: its requests are handed over,
 // with as many attempts as are left.
 func TestRequestToUnreachedPoolIsHandedOver(t *testing.T) {
-	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return ok("answer"), nil })
 	for _, s := range f.Snapshot().Servers["p"] {
 		f.paths.Failed(s.ID, reach.Silent, time.Now())
 	}
@@ -130,7 +135,7 @@
 // A request that waits at a server when the paths are lost goes to another instance if it may
 // be repeated.
 func TestWaitingRequestIsHandedOverWhenPathsAreLost(t *testing.T) {
-	f, b := newHelpedFixture(func(Helper, *Request) (*Answer, error) { return ok("answer"), nil })
+	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return ok("answer"), nil })
 	b.script = func(_ int, ctx context.Context, _ *Attempt) (*Answer, error) {
 		f.paths.Judge(false)
 		<-ctx.Done()
@@ -145,26 +150,6 @@
 	}
 }
 
-// 300 instances hand requests over: no helper gets a multiple of the others' share.
-func TestHelpersShareWhatIsHandedOver(t *testing.T) {
-	var helpers []Helper
-	for n := range 60 {
-		helpers = append(helpers, Helper{Name: string(rune('A' + n)), Zone: "z"})
-	}
-	random := rand.New(rand.NewPCG(1, 1))
-	count := make(map[string]int)
-	const requests = 6000
-	for range requests {
-		chosen := chooseHelpers(helpers, "z", func(string) bool { return false }, random)
-		count[chosen[0].Name]++
-	}
-	for name, n := range count {
-		if mean := requests / len(helpers); n > 2*mean || n < mean/2 {
-			t.Errorf("helper %s is chosen %d times, the mean is %d", name, n, mean)
-		}
-	}
-}
-
 // A server that this instance does not reach is not chosen while it reaches others.
 func TestUnreachedServerIsNotChosen(t *testing.T) {
 	f := newFixture(5, func(int, context.Context, *Attempt) (*Answer, error) { return ok("answer"), nil })
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -15,6 +15,7 @@
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
+	"kumquatyard/internal/handover"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/origin"
 	"kumquatyard/internal/outlier"
@@ -64,8 +65,10 @@
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
-	// Helpers returns the other instances; nil if there are none.
-	Helpers func() []Helper
+	// OtherInstances returns the other instances; nil if there are none.
+	OtherInstances func() []handover.Helper
+	// Helpers knows which other instances may serve requests; New creates one if it is nil.
+	Helpers *handover.Directory
 	// MarkLeaving is called with a server whose answer says that it is leaving; may be
 	// nil.
 	MarkLeaving func(*fleet.Server)
@@ -87,9 +90,7 @@
 	// of probes.
 	paths   *reach.Watch
 	probing atomic.Bool
-	// declined holds the instances that do not serve requests of this one at present.
-	declined declinedHelpers
-	ends     endChecks
+	ends    endChecks
 }
 
 // ejectionSettings eject a failing server for seconds only, since servers are
@@ -110,6 +111,9 @@
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{Log: o.Log})
 	}
+	if o.Helpers == nil {
+		o.Helpers = handover.NewDirectory(o.Zone)
+	}
 	if o.Limits == nil {
 		o.Limits = ratelimit.New("", o.Log)
 		o.Limits.SetInstances(nil, time.Now())
