reach, serve: paths are judged pool by pool, and cut ones are found by probes at any number of servers

Twelve paths a round were probed, only those that a request had found, and an instance that reached one pool never took another one for lost.

A pool is lost by itself now. When as many of its paths are down as are heard, the others are probed too, in rounds that grow with their number; each probe counts for its path. A request that waits at a server that is heard is no longer aborted when probes of others fail.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -34,7 +34,7 @@
 	defer func() { job.Done(time.Now()) }()
 	r.beginStream(c.server)
 	defer r.leaveRoom(c.server)
-	wait := s.paths.Begin(c.server.ID, abort, time.Now())
+	wait := s.paths.Begin(pathTo(c.server), abort, time.Now())
 	answer, err := s.Backend.Send(ctx, &Attempt{
 		Request: r.req, Server: c.server, LastEventID: r.lastEvent, Deadline: r.req.Deadline, Continue: r.handle,
 		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
@@ -43,7 +43,7 @@
 	if err != nil {
 		return false, r.recordUnanswered(c.server, err)
 	}
-	s.paths.Heard(c.server.ID, time.Now())
+	s.paths.Heard(pathTo(c.server), time.Now())
 	r.attempts++
 	s.clearSuspicion(c.server.ID)
 	defer answer.Body.Close()
@@ -124,14 +124,14 @@
 			if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 				outcome = reach.Refused
 			}
-			r.server.paths.Failed(server.ID, outcome, now)
+			r.server.paths.Failed(pathTo(server), outcome, now)
 			r.unreached++
 		}
 		return errors.Join(err, errUnreachable)
 	}
 	r.attempts++
 	r.mayHaveRun = true
-	if r.ctx.Err() == nil && !r.server.paths.IsDown(server.ID) {
+	if r.ctx.Err() == nil && !r.server.paths.IsDown(pathTo(server)) {
 		r.server.suspect(server.ID, now)
 		r.server.observe(server.ID, true)
 	}
--- a/internal/serve/backoff_test.go
+++ b/internal/serve/backoff_test.go
@@ -12,6 +12,7 @@
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/reach"
 )
 
 // turnedAway is the answer of a server that wants no requests for a time.
@@ -116,7 +117,7 @@
 	if got := sent.Load(); got != 0 {
 		t.Errorf("%d requests were sent after the server turned one away, want none", got)
 	}
-	if f.isSuspected("s0", time.Now()) {
+	if f.isSuspected(reach.Path{Pool: "p", Server: "s0"}, time.Now()) {
 		t.Error("a server that wants no requests is suspected of a failure")
 	}
 }
--- a/internal/serve/cutzone_test.go
+++ b/internal/serve/cutzone_test.go
@@ -57,7 +57,7 @@
 		result.offers++
 	}}
 	f.Zone, f.Helpers, f.OtherInstances = "z0", handover.NewDirectory("z0"), func() []handover.Helper { return helpers }
-	f.paths.Judge(false)
+	f.paths.Judge("p", false, time.Now())
 	var wg sync.WaitGroup
 	for range int(cutTime.Seconds() * c.perSecond) {
 		wg.Go(func() {
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -44,17 +44,17 @@
 
 // mustHandOver reports whether this instance is known not to reach servers.
 func (r *run) mustHandOver() bool {
-	return r.server.paths.Lost() || r.unreached >= unreachedServers
+	return r.server.paths.Lost(r.pool) || r.unreached >= unreachedServers
 }
 
 // lacksServer reports whether the outcome of a choice is due to servers that this instance does
 // not reach: the best of all is one of them, or the others do not take the request.
 func (r *run) lacksServer(choice candidate, err error) bool {
 	if err == nil {
-		return r.server.paths.IsDown(choice.server.ID)
+		return r.server.paths.IsDown(pathTo(choice.server))
 	}
 	return slices.ContainsFunc(r.server.Snapshot().Servers[r.pool], func(s *fleet.Server) bool {
-		return s.Usable() && r.mayServe(s) && r.server.paths.IsDown(s.ID)
+		return s.Usable() && r.mayServe(s) && r.server.paths.IsDown(pathTo(s))
 	})
 }
 
@@ -97,7 +97,7 @@
 func (r *run) logNoHelper(leftOut int) {
 	r.server.Log.WithFields(logrus.Fields{
 		"event": "request_not_handed_over", "request": r.req.ID, "pool": r.pool, "offers": r.offers, "left_out": leftOut,
-		"paths_lost": r.server.paths.Lost(), "ms": time.Since(r.req.Arrived).Milliseconds(),
+		"paths_lost": r.server.paths.Lost(r.pool), "ms": time.Since(r.req.Arrived).Milliseconds(),
 	}).Info("no other instance took the request")
 }
 
@@ -169,7 +169,7 @@
 	countHandOver(outcome, err)
 	entry := r.server.Log.WithFields(logrus.Fields{
 		"event": "request_handed_over", "request": r.req.ID, "route": r.req.Route.Name, "pool": r.pool, "helper": helper.Name, "helper_zone": helper.Zone, "offers": r.offers, "outcome": outcome,
-		"paths_lost": r.server.paths.Lost(), "unreached": r.unreached, "first_byte_ms": r.firstByte.Milliseconds(), "ms": time.Since(r.req.Arrived).Milliseconds(),
+		"paths_lost": r.server.paths.Lost(r.pool), "unreached": r.unreached, "first_byte_ms": r.firstByte.Milliseconds(), "ms": time.Since(r.req.Arrived).Milliseconds(),
 	})
 	if err != nil {
 		entry.WithError(err).Info("the request was offered to another instance, since this one does not reach servers")
--- a/internal/serve/handover_test.go
+++ b/internal/serve/handover_test.go
@@ -52,7 +52,7 @@
 		}
 		return ok("answer"), nil
 	})
-	f.paths.Judge(false)
+	f.paths.Judge("p", false, time.Now())
 	caller := &fakeCaller{}
 	if err := f.Serve(t.Context(), request(once), caller); err != nil || caller.body.String() != "answer" {
 		t.Fatalf("answer %q, error %v, want that of the other instance", caller.body.String(), err)
@@ -75,7 +75,7 @@
 // A request that no instance can serve is refused at once, as not run, and is not charged.
 func TestRequestThatNobodyServesIsRefusedAtOnce(t *testing.T) {
 	f, _ := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return nil, declined() })
-	f.paths.Judge(false)
+	f.paths.Judge("p", false, time.Now())
 	err := f.Serve(t.Context(), request(once), &fakeCaller{})
 	if contract.VerdictOf(err) != contract.NotRun || f.quotas.refunded != f.quotas.taken {
 		t.Errorf("error %v, %v of %v refunded; want a refusal as not run without a charge", err, f.quotas.refunded, f.quotas.taken)
@@ -86,7 +86,7 @@
 // that is not idempotent is not handed over again.
 func TestRequestThatMayHaveRunIsNotHandedOverAgain(t *testing.T) {
 	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return nil, verdictError(contract.MayHaveRun) })
-	f.paths.Judge(false)
+	f.paths.Judge("p", false, time.Now())
 	err := f.Serve(t.Context(), request(once), &fakeCaller{})
 	if contract.VerdictOf(err) != contract.MayHaveRun || len(b.offers) != 1 {
 		t.Errorf("error %v after %d offers, want one offer, and that the request may have run", err, len(b.offers))
@@ -96,7 +96,7 @@
 // A request that another instance has handed over is charged there, and handed to nobody else.
 func TestRequestIsHandedOverOnce(t *testing.T) {
 	f, b := newHelpedFixture(nil)
-	f.paths.Judge(false)
+	f.paths.Judge("p", false, time.Now())
 	req := request(once)
 	req.HandedOver = true
 	err := f.Serve(t.Context(), req, &fakeCaller{})
@@ -122,7 +122,7 @@
 func TestRequestToUnreachedPoolIsHandedOver(t *testing.T) {
 	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return ok("answer"), nil })
 	for _, s := range f.Snapshot().Servers["p"] {
-		f.paths.Failed(s.ID, reach.Silent, time.Now())
+		f.paths.Failed(pathTo(s), reach.Silent, time.Now())
 	}
 	if err := f.Serve(t.Context(), request(idempotent), &fakeCaller{}); err != nil {
 		t.Fatal(err)
@@ -137,7 +137,7 @@
 func TestWaitingRequestIsHandedOverWhenPathsAreLost(t *testing.T) {
 	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return ok("answer"), nil })
 	b.script = func(_ int, ctx context.Context, _ *Attempt) (*Answer, error) {
-		f.paths.Judge(false)
+		f.paths.Judge("p", false, time.Now())
 		<-ctx.Done()
 		return nil, contract.Unavailable(contract.MayHaveRun, "no answer", context.Cause(ctx))
 	}
@@ -159,7 +159,7 @@
 			reached = s.ID
 			continue
 		}
-		f.paths.Failed(s.ID, reach.Silent, time.Now())
+		f.paths.Failed(pathTo(s), reach.Silent, time.Now())
 	}
 	for range 20 {
 		if err := f.Serve(t.Context(), request(once), &fakeCaller{}); err != nil {
--- a/internal/serve/paths.go
+++ b/internal/serve/paths.go
@@ -32,27 +32,48 @@
 	if !ok {
 		return
 	}
-	doubtful, all := s.paths.Doubtful(now), s.paths.AllDoubtful(now)
-	if (len(doubtful) == 0 && !all) || !s.probing.CompareAndSwap(false, true) {
+	paths := s.paths.Doubtful(now)
+	var pools []string
+	for pool, servers := range p.Servers {
+		if s.paths.AllDoubtful(pool, now) && len(servers) > 0 {
+			pools = append(pools, pool)
+			continue
+		}
+		paths = append(paths, s.paths.Unverified(pool, servingIDs(servers), now)...)
+	}
+	if len(paths)+len(pools) == 0 || !s.probing.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer s.probing.Store(false)
 		var wg conc.WaitGroup
-		wg.Go(func() { s.probeEach(checker, serversOf(p, doubtful)) })
-		if servers := sampleServing(p, probedServers); all && len(servers) > 0 {
-			wg.Go(func() { s.judgePaths(reachesAny(checker, servers), len(servers)) })
+		wg.Go(func() { s.probeEach(checker, serversOf(p, paths)) })
+		for _, pool := range pools {
+			wg.Go(func() { s.judgePool(checker, pool, sample(p.Servers[pool], probedServers)) })
 		}
 		wg.Wait()
 	}()
 }
 
-// serversOf returns the servers of a snapshot with the given ids.
-func serversOf(p *fleet.Snapshot, ids []machine.ID) []*fleet.Server {
+// servingIDs returns the ids of the servers that are said to serve.
+func servingIDs(servers []*fleet.Server) (ids []machine.ID) {
+	for _, server := range servers {
+		if isAvailable(server) {
+			ids = append(ids, server.ID)
+		}
+	}
+	return ids
+}
+
+// isAvailable reports whether a server is said to serve.
+func isAvailable(s *fleet.Server) bool { return s.Usable() && !s.LeaseExpired() }
+
+// serversOf returns the servers of a snapshot at the ends of paths.
+func serversOf(p *fleet.Snapshot, paths []reach.Path) []*fleet.Server {
 	var found []*fleet.Server
 	for _, servers := range p.Servers {
 		for _, server := range servers {
-			if slices.Contains(ids, server.ID) {
+			if slices.Contains(paths, pathTo(server)) {
 				found = append(found, server)
 			}
 		}
@@ -60,6 +81,8 @@
 	return found
 }
 
+func pathTo(server *fleet.Server) reach.Path { return reach.Path{Pool: server.Pool, Server: server.ID} }
+
 // reachesAnother reports whether another server accepts a connection, so that a refusal by this
 // one does not come from the paths.
 func (s *Server) reachesAnother(checker Checker, server *fleet.Server) bool {
@@ -67,18 +90,25 @@
 	return len(others) == 0 || reachesAny(checker, others)
 }
 
-// probeEach probes the path to each of the servers.
-func (s *Server) probeEach(checker Checker, servers []*fleet.Server) {
+// probeEach probes the path to each of the servers, and reports whether one of them accepted a
+// connection.
+func (s *Server) probeEach(checker Checker, servers []*fleet.Server) (reached bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	var opened atomic.Bool
 	var wg conc.WaitGroup
 	for _, server := range servers {
 		wg.Go(func() {
 			ended, err := checker.HasEnded(ctx, server)
-			s.judgePath(server, outcomeOf(ended, err))
+			outcome := outcomeOf(ended, err)
+			s.judgePath(server, outcome)
+			if outcome == reach.Opened {
+				opened.Store(true)
+			}
 		})
 	}
 	wg.Wait()
+	return opened.Load()
 }
 
 func outcomeOf(ended bool, err error) reach.Outcome {
@@ -94,9 +124,9 @@
 
 // judgePath records the outcome of a probe of one path.
 func (s *Server) judgePath(server *fleet.Server, outcome reach.Outcome) {
-	wasDown := s.paths.IsDown(server.ID)
-	s.paths.Probed(server.ID, outcome, time.Now())
-	isDown := s.paths.IsDown(server.ID)
+	wasDown := s.paths.IsDown(pathTo(server))
+	s.paths.Probed(pathTo(server), outcome, time.Now())
+	isDown := s.paths.IsDown(pathTo(server))
 	if wasDown == isDown {
 		return
 	}
@@ -104,14 +134,18 @@
 }
 
 // sampleServing returns random servers of each pool that are said to serve.
-func sampleServing(p *fleet.Snapshot, perPool int) []*fleet.Server {
-	var sample []*fleet.Server
+func sampleServing(p *fleet.Snapshot, perPool int) (list []*fleet.Server) {
 	for _, servers := range p.Servers {
-		serving := slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return !s.Usable() || s.LeaseExpired() })
-		rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
-		sample = append(sample, serving[:min(len(serving), perPool)]...)
+		list = append(list, sample(servers, perPool)...)
 	}
-	return sample
+	return list
+}
+
+// sample returns at most n random servers that are said to serve.
+func sample(servers []*fleet.Server, n int) []*fleet.Server {
+	serving := slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return !isAvailable(s) })
+	rand.Shuffle(len(serving), func(i, j int) { serving[i], serving[j] = serving[j], serving[i] })
+	return serving[:min(len(serving), n)]
 }
 
 // reachesAny reports whether one of the servers accepts a connection.
@@ -132,17 +166,26 @@
 	return reached.Load()
 }
 
-// judgePaths records the outcome of a round of probes. When the paths are back, servers are no
-// longer suspected for what the paths did.
-func (s *Server) judgePaths(reached bool, probed int) {
-	if !s.paths.Judge(reached) {
+// judgePool probes servers of a pool and records whether this instance reaches any of them. When
+// the paths are back, servers are no longer suspected for what the paths did.
+func (s *Server) judgePool(checker Checker, pool string, servers []*fleet.Server) {
+	if len(servers) == 0 {
 		return
 	}
-	entry := s.Log.WithFields(logrus.Fields{"event": "paths_changed", "reached": reached, "probed": probed})
+	reached := s.probeEach(checker, servers)
+	if !s.paths.Judge(pool, reached, time.Now()) {
+		return
+	}
+	entry := s.Log.WithFields(logrus.Fields{"event": "paths_changed", "pool": pool, "reached": reached, "probed": len(servers)})
 	if !reached {
-		entry.Warn("this instance reaches none of the probed servers; its requests are handed over to other instances")
+		entry.Warn("this instance reaches none of the probed servers of the pool; its requests are handed over to other instances")
 		return
 	}
-	s.suspects.Clear()
-	entry.Info("this instance reaches servers again")
+	for _, server := range s.Snapshot().Servers[pool] {
+		s.clearSuspicion(server.ID)
+	}
+	entry.Info("this instance reaches servers of the pool again")
 }
+
+// LostPools returns the pools of which this instance reaches no server.
+func (s *Server) LostPools() []string { return s.paths.LostPools() }
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -15,6 +15,7 @@
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/origin"
 	"kumquatyard/internal/ratelimit"
+	"kumquatyard/internal/reach"
 )
 
 const (
@@ -124,7 +125,7 @@
 				return r.endHandedOver(err)
 			}
 		}
-		if r.server.paths.Lost() {
+		if r.server.paths.Lost(r.pool) {
 			return r.fail(r.refuseWithoutPath())
 		}
 		choice, err := r.choose()
@@ -225,7 +226,7 @@
 	s := r.server
 	return &placement{
 		zone: s.Zone, servers: s.Snapshot().Servers[r.pool], mayServe: r.mayServe, exclude: exclude, seed: seed(), sample: sampleSize(s.Instances()),
-		isSuspected: func(id machine.ID) bool { return s.isSuspected(id, now) },
+		isSuspected: func(id machine.ID) bool { return s.isSuspected(reach.Path{Pool: r.pool, Server: id}, now) },
 		isWanted:    func(server *fleet.Server) bool { return s.accepts(server, now) },
 		isLimited:   func(server *fleet.Server) bool { return s.Limits.IsLimited(ratelimit.IncarnationOf(server)) },
 	}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -142,7 +142,7 @@
 		t.Fatalf("answer %q, error %v, want the answer of the second server", caller.body.String(), err)
 	}
 	first := f.backend.attempts[0]
-	if first.Server.ID == f.backend.attempts[1].Server.ID || f.isSuspected(first.Server.ID, time.Now()) {
+	if first.Server.ID == f.backend.attempts[1].Server.ID || f.isSuspected(pathTo(first.Server), time.Now()) {
 		t.Errorf("server %s without a free connection was tried again or is suspected", first.Server.ID)
 	}
 	if first.MaxConnections != 14 {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -198,11 +198,13 @@
 // clearSuspicion readmits a server that answered.
 func (s *Server) clearSuspicion(id machine.ID) { s.suspects.Delete(id) }
 
-// isSuspected reports whether the server is ejected, suspected or not reached.
-func (s *Server) isSuspected(id machine.ID, now time.Time) bool {
-	if s.paths.IsDown(id) {
+// isSuspected reports whether the server at the end of a path is ejected, suspected or not
+// reached.
+func (s *Server) isSuspected(path reach.Path, now time.Time) bool {
+	if s.paths.IsDown(path) {
 		return true
 	}
+	id := path.Server
 	if ejected := s.ejected.Load(); ejected != nil && (*ejected)[id] {
 		return true
 	}
@@ -246,7 +248,7 @@
 	isKnown := func(id machine.ID) bool { _, ok := known[id]; return ok }
 	s.Predictor.Retain(isKnown)
 	s.backoffs.retain(isKnown)
-	s.paths.Retain(isKnown)
+	s.paths.Retain(isKnown, func(pool string) bool { return len(p.Servers[pool]) > 0 })
 	s.Limits.Retain(isKnown, now)
 	s.Brittle.Retain(isKnown, now)
 	s.suspects.Range(func(id, _ any) bool {
