rollup, entry: instances announce the pools of which they reach no server

An instance told nobody that its paths were lost, so that each instance, and each request, found out alone, by offers that were declined. Earlier builds leave the fields out, which means that they announce nothing.

--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -5,8 +5,10 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
+	"kumquatyard/internal/handover"
 	"kumquatyard/internal/rollup"
 	"kumquatyard/internal/store"
 	"kumquatyard/internal/usage"
@@ -49,6 +51,9 @@
 		demand[rollup.Key(pool)] = rate
 	}
 	m.Demands = rollup.EncodeDemand(demand)
+	for _, pool := range i.core.LostPools() {
+		m.UnreachedPools = append(m.UnreachedPools, rollup.Key(pool))
+	}
 	return m
 }
 
@@ -79,6 +84,20 @@
 		i.ledger.RecordReport(others.Levels, others.Own.GetWorkspaces(), others.Instances, others.At)
 	}
 	i.applyLeaving(sum.GetLeavingServers())
+	i.applyUnreached(sum.GetUnreached(), now)
+}
+
+// applyUnreached records which instances reach no server of a pool.
+func (i *Instance) applyUnreached(list []*pb.UnreachedPool, now time.Time) {
+	if !i.helpers.Announce(handover.DecodeUnreached(list), now) {
+		return
+	}
+	for _, p := range list {
+		i.Log.WithFields(logrus.Fields{"event": "pool_unreached", "pool_key": p.GetPool(), "instances": len(p.GetInstances())}).Info("instances announce that they reach no server of a pool; no request for it is offered to them")
+	}
+	if len(list) == 0 {
+		i.Log.WithField("event", "pools_reached").Info("all instances reach servers of all pools again, as far as they announce")
+	}
 }
 
 // applyUsage records the usage counts of another instance.
--- a/internal/handover/directory.go
+++ b/internal/handover/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"kumquatyard/internal/rollup"
+	pb "kumquatyard/proto/kumquat/v1"
 )
 
 const (
@@ -36,6 +37,19 @@
 // it.
 type Unreached map[uint32]map[uint32]bool
 
+// DecodeUnreached decodes the list of a message.
+func DecodeUnreached(list []*pb.UnreachedPool) Unreached {
+	unreached := make(Unreached, len(list))
+	for _, p := range list {
+		instances := make(map[uint32]bool, len(p.GetInstances()))
+		for _, key := range p.GetInstances() {
+			instances[key] = true
+		}
+		unreached[p.GetPool()] = instances
+	}
+	return unreached
+}
+
 // subject is what an instance declines: the requests of a pool, or all of them if pool is empty.
 type subject struct{ helper, pool string }
 
@@ -71,17 +85,23 @@
 	return &Directory{zone: zone, pauses: make(map[subject]pause), zones: make(map[zoneSubject]zoneRecord)}
 }
 
-// Announce replaces what the instances have announced. An instance that announced that it does
-// not reach a pool, and does so no more, is offered the pool's requests again at once.
-func (d *Directory) Announce(unreached Unreached, now time.Time) {
+// Announce replaces what the instances have announced, and reports whether that changes anything.
+// An instance that announced that it does not reach a pool, and does so no more, is offered the
+// pool's requests again at once.
+func (d *Directory) Announce(unreached Unreached, now time.Time) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.announced
+	if maps.EqualFunc(before, unreached, maps.Equal[map[uint32]bool, map[uint32]bool]) {
+		d.announcedAt = now
+		return false
+	}
 	d.announced, d.announcedAt = unreached, now
 	maps.DeleteFunc(d.pauses, func(s subject, _ pause) bool {
 		pool, helper := rollup.Key(s.pool), rollup.Key(s.helper)
 		return before[pool][helper] && !unreached[pool][helper]
 	})
+	return true
 }
 
 // Retain drops what is known of instances for which keep is false.
--- a/internal/rollup/rollup_test.go
+++ b/internal/rollup/rollup_test.go
@@ -219,3 +219,27 @@
 		}
 	}
 }
+
+// What an instance does not reach is known to the instances of all zones, and forgotten once it
+// reaches it again.
+func TestUnreachedPoolsAreTold(t *testing.T) {
+	a, b := newInstance("a1", "a"), newInstance("b1", "b")
+	pool := Key("pool")
+	heard := func(lost bool, now time.Time) []*pb.UnreachedPool {
+		state := a.state()
+		if lost {
+			state.UnreachedPools = []uint32{pool}
+		}
+		a.aggregator.RecordMember(state, now)
+		b.aggregator.RecordMember(b.state(), now)
+		b.aggregator.RecordZone(a.aggregator.ZoneSum(now), now)
+		return b.aggregator.FleetSum(b.aggregator.ZoneSum(now), false, now).GetUnreached()
+	}
+	list := heard(true, start)
+	if len(list) != 1 || list[0].GetPool() != pool || len(list[0].GetInstances()) != 1 || list[0].GetInstances()[0] != Key("a1") {
+		t.Errorf("the other zone hears %v, want that a1 does not reach the pool", list)
+	}
+	if list := heard(false, start.Add(time.Second)); len(list) != 0 {
+		t.Errorf("the other zone hears %v after the paths are back", list)
+	}
+}
--- a/internal/rollup/zones.go
+++ b/internal/rollup/zones.go
@@ -87,6 +87,8 @@
 func (a *Aggregator) FleetSum(own *pb.ZoneSum, stopping bool, now time.Time) *pb.FleetSum {
 	totals := newTotals()
 	totals.add(own.GetWork(), own.GetDemands())
+	unreached := make(unreachedPools)
+	unreached.addAll(own.GetUnreached())
 	sum := &pb.FleetSum{
 		From: a.self, Sequence: own.GetSequence(), Instances: own.GetMembers(), Stopping: stopping,
 		LeavingServers: own.GetLeavingServers(), Holder: own.GetHolder(), Config: own.GetConfig(),
@@ -106,6 +108,7 @@
 		}
 		passed := now.Sub(s.receivedAt)
 		totals.add(s.sum.GetWork(), s.sum.GetDemands())
+		unreached.addAll(s.sum.GetUnreached())
 		sum.Instances += s.sum.GetMembers()
 		ages += (s.sum.GetAgeMs() + passed.Milliseconds()) * int64(s.sum.GetMembers())
 		clocks = append(clocks, s.sum.GetUnixMs()+passed.Milliseconds())
@@ -113,7 +116,7 @@
 		sum.Holder = laterHolder(sum.Holder, s.sum.GetHolder(), passed)
 		sum.Config = newerConfig(sum.Config, s.sum.GetConfig())
 	}
-	sum.Work, sum.Demands = EncodeWork(totals.Work), EncodeDemand(totals.Demand)
+	sum.Work, sum.Demands, sum.Unreached = EncodeWork(totals.Work), EncodeDemand(totals.Demand), unreached.encode()
 	sum.Levels, sum.LevelsUnknown = a.quotas.Levels(int(sum.GetInstances()), now), !a.levelsKnown(now)
 	sum.AgeMs, sum.UnixMs = ages/int64(max(sum.GetInstances(), 1)), median(clocks)
 	return sum
