upstream, platform, serve: a request is offered before its body is sent, and a silent instance costs a bounded time

An instance that handed a request over sent all of it, up to 72 KB on links of 10 Mbit/s, with each offer, and waited for an instance that was frozen until the request's deadline. Cause: the only sign was the answer. A request is offered with Expect: 100-continue now: the receiver says that it reaches the pool before it gets the body.

--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -21,13 +21,19 @@
 // own, at most once.
 type HandOver interface {
 	// HandOver returns the helper's answer. Its errors are *contract.Error, joined with
-	// ErrDeclined if the helper reaches no server either, or is starting or stopping.
-	// attempts is the number of servers to which the helper may send it.
+	// ErrDeclined if the helper reaches no server either, or is starting or stopping, and with
+	// ErrHelperLost if it gave no answer. attempts is the number of servers to which the helper
+	// may send it.
 	HandOver(ctx context.Context, helper handover.Helper, req *Request, attempts int) (*Answer, error)
 }
 
-// ErrDeclined means that another instance cannot serve the requests of this one at present.
-var ErrDeclined = errors.New("the other instance serves no requests of this one at present")
+var (
+	// ErrDeclined means that another instance cannot serve the requests of this one at present.
+	ErrDeclined = errors.New("the other instance serves no requests of this one at present")
+	// ErrHelperLost means that another instance could not be reached, or gave no sign any more; the
+	// verdict tells whether the request may have run.
+	ErrHelperLost = errors.New("the other instance gave no answer")
+)
 
 // unreachedServers is the number of servers that a request could not be sent to, after which it
 // is handed over although this instance may reach others.
@@ -72,25 +78,59 @@
 			break
 		}
 		r.offers++
-		answer, err := backend.HandOver(r.ctx, helper, r.req, r.req.MaxAttempts()-r.attempts)
-		if errors.Is(err, ErrDeclined) && r.ctx.Err() == nil {
-			r.server.Helpers.Declined(helper, r.pool, time.Now())
-			r.logHandOver(helper, "declined", err)
-			continue
-		}
-		r.server.Helpers.Took(helper, r.pool)
-		if err == nil {
-			err = r.relayHandedOver(answer)
-		} else {
-			r.mayHaveRun = r.mayHaveRun || contract.VerdictOf(err) != contract.NotRun
+		var next bool
+		if next, err = r.offer(backend, helper); !next {
+			return true, err
 		}
-		r.logHandOver(helper, "handled", err)
-		return true, err
 	}
 	r.logNoHelper(search.LeftOut())
+	if err != nil && contract.VerdictOf(err) != contract.NotRun {
+		return true, err
+	}
 	return false, nil
 }
 
+// offer offers the request to another instance. next is true if it may go to one more.
+func (r *run) offer(backend HandOver, helper handover.Helper) (next bool, err error) {
+	answer, err := backend.HandOver(r.ctx, helper, r.req, r.req.MaxAttempts()-r.attempts)
+	now := time.Now()
+	switch {
+	case err == nil:
+		r.server.Helpers.Took(helper, r.pool)
+		err = r.relayHandedOver(answer)
+	case r.ctx.Err() != nil:
+	case errors.Is(err, ErrHelperLost):
+		r.server.Helpers.Silent(helper, r.pool, now)
+	case errors.Is(err, ErrDeclined):
+		r.server.Helpers.Declined(helper, r.pool, now)
+		r.logHandOver(helper, "declined", err)
+		return true, err
+	default:
+		r.server.Helpers.Took(helper, r.pool)
+	}
+	if err != nil && contract.VerdictOf(err) != contract.NotRun {
+		r.mayHaveRun = true
+		r.attempts++
+	}
+	if errors.Is(err, ErrHelperLost) && r.mayOfferAgain() {
+		r.logHandOver(helper, "lost", err)
+		return true, err
+	}
+	r.logHandOver(helper, "handled", err)
+	return false, err
+}
+
+// mayOfferAgain reports whether a request may go to one more instance after one was lost.
+func (r *run) mayOfferAgain() bool {
+	if r.headSent || r.ctx.Err() != nil {
+		return false
+	}
+	if !r.mayHaveRun {
+		return true
+	}
+	return r.req.Route.MayRepeat() && r.attempts < r.req.MaxAttempts() && r.server.Budget.Take(r.pool, time.Now())
+}
+
 // logNoHelper logs that no other instance took the request. leftOut is the number of helpers to
 // which it was not offered, as they declined others lately or announced that they do not reach
 // the pool.
@@ -120,7 +160,7 @@
 	}
 	head, err := io.ReadAll(io.LimitReader(a.Body, bufferedBytes))
 	if err != nil {
-		return contract.Unavailable(contract.MayHaveRun, "the other instance's answer broke off", err)
+		return contract.Unavailable(contract.MayHaveRun, "the other instance's answer broke off", errors.Join(ErrHelperLost, err))
 	}
 	isWhole := len(head) < bufferedBytes
 	if isWhole {
@@ -152,7 +192,7 @@
 		case err != nil && r.headSent:
 			return ErrTruncated
 		case err != nil:
-			return contract.Unavailable(contract.MayHaveRun, "the other instance's stream broke off", err)
+			return contract.Unavailable(contract.MayHaveRun, "the other instance's stream broke off", errors.Join(ErrHelperLost, err))
 		}
 	}
 }
--- a/internal/serve/handover_test.go
+++ b/internal/serve/handover_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/handover"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/reach"
@@ -170,3 +171,44 @@
 		t.Error("a server that is not reached was chosen")
 	}
 }
+
+func lost(v contract.Verdict) error {
+	return &contract.Error{Kind: contract.KindUnavailable, Verdict: v, Message: "silent", Err: ErrHelperLost}
+}
+
+// Guards against requests that end with one silent instance (issue 36, RECOVER): an instance that is
+// silent before it has accepted a request costs the others nothing, and one that is lost afterwards
+// only the requests that must not be repeated.
+func TestRequestGoesOnWhenAHelperIsLost(t *testing.T) {
+	for name, tt := range map[string]struct {
+		verdict    contract.Verdict
+		route      fleet.Route
+		wantOffers int
+	}{
+		"before it accepted":                     {contract.NotRun, once, 3},
+		"after it accepted":                      {contract.MayHaveRun, once, 1},
+		"before it accepted, may be repeated":    {contract.NotRun, idempotent, 3},
+		"after it accepted, two attempts at all": {contract.MayHaveRun, idempotent, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			offers := 0
+			f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) {
+				if offers++; offers < 3 {
+					return nil, lost(tt.verdict)
+				}
+				return ok("answer"), nil
+			})
+			f.paths.Judge("p", false, time.Now())
+			err := f.Serve(t.Context(), request(tt.route), &fakeCaller{})
+			if len(b.offers) != tt.wantOffers || (err == nil) != (tt.wantOffers == 3) {
+				t.Errorf("%d offers, error %v, want %d offers", len(b.offers), err, tt.wantOffers)
+			}
+			if err != nil && contract.VerdictOf(err) != contract.MayHaveRun {
+				t.Errorf("verdict %v, want that it may have run", contract.VerdictOf(err))
+			}
+			if len(b.fakeBackend.attempts) != 0 {
+				t.Errorf("%d attempts at servers of its own, want none", len(b.fakeBackend.attempts))
+			}
+		})
+	}
+}
--- a/internal/serve/paths.go
+++ b/internal/serve/paths.go
@@ -189,3 +189,8 @@
 
 // LostPools returns the pools of which this instance reaches no server.
 func (s *Server) LostPools() []string { return s.paths.LostPools() }
+
+// Reaches reports whether this instance reaches servers of a pool of a route, as far as it knows.
+func (s *Server) Reaches(route *fleet.Route) bool {
+	return len(route.Targets) == 0 || slices.ContainsFunc(route.Targets, func(t fleet.Target) bool { return !s.paths.Lost(t.Pool) })
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -31,10 +31,27 @@
 	// Wanted is called right before the request is written; if it returns false, the call
 	// fails with ErrUnwanted and nothing is sent. Nil means true.
 	Wanted func() bool
+	// Offer, if set, offers the request before its body is sent; nil sends all of it at once.
+	Offer *Offer
 	// Belongs tells whether an answer belongs to this request. Answers to others are skipped.
 	Belongs func(*http.Response) Belonging
 }
 
+// Offer makes a receiver accept a request before it has the whole of it, by Expect: 100-continue:
+// without an interim answer nothing can have run. A receiver that sends other interim answers has
+// to go on with them until its answer.
+type Offer struct {
+	// AcceptTimeout is the time in which the receiver has to accept the request or to answer.
+	AcceptTimeout time.Duration
+	// SilenceTimeout bounds the time without a byte after the first interim answer that follows
+	// the acceptance, until the answer.
+	SilenceTimeout time.Duration
+}
+
+// ErrSilent means that the receiver of an offered request did not accept it in time, or was silent
+// after it had accepted it.
+var ErrSilent = errors.New("the receiver is silent")
+
 // Belonging tells whether an answer belongs to a request.
 type Belonging int
 
@@ -99,7 +116,10 @@
 }
 
 func (x *exchange) run(ctx context.Context) (*http.Response, error) {
-	if err := x.write(); err != nil {
+	if x.call.Offer != nil {
+		return x.offer(ctx)
+	}
+	if err := x.write(x.request()); err != nil {
 		return nil, err
 	}
 	select {
@@ -113,14 +133,19 @@
 	return x.read()
 }
 
-// write sends the request. It returns before a request of more than maxInlineBytes is
-// written.
-func (x *exchange) write() error {
+// request returns the bytes of the whole request.
+func (x *exchange) request() []byte {
 	var b bytes.Buffer
 	writeHead(&b, x.call)
 	b.Write(x.call.Body)
-	if b.Len() <= maxInlineBytes {
-		n, err := x.conn.Write(b.Bytes())
+	return b.Bytes()
+}
+
+// write sends the request, or the rest of it. It returns before more than maxInlineBytes are
+// written.
+func (x *exchange) write(data []byte) error {
+	if len(data) <= maxInlineBytes {
+		n, err := x.conn.Write(data)
 		x.written <- err
 		if err != nil && n == 0 {
 			return failure(contract.NotRun, "no byte of the request was written", err)
@@ -131,7 +156,7 @@
 		return nil
 	}
 	go func() {
-		_, err := x.conn.Write(b.Bytes())
+		_, err := x.conn.Write(data)
 		x.written <- err
 	}()
 	return nil
@@ -141,7 +166,13 @@
 	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", call.Method, call.Target, call.Host)
 	// Writing to a buffer cannot fail.
 	_ = call.Header.Write(b)
-	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+	switch {
+	case call.Offer != nil && len(call.Body) == 0:
+		// The receiver asks for a body only where there may be one.
+		b.WriteString("Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n")
+	case call.Offer != nil:
+		fmt.Fprintf(b, "Expect: 100-continue\r\nContent-Length: %d\r\n", len(call.Body))
+	case len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead:
 		fmt.Fprintf(b, "Content-Length: %d\r\n", len(call.Body))
 	}
 	b.WriteString("\r\n")
@@ -175,12 +206,11 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		belongs := x.call.Belongs(resp)
-		if belongs == OwnRequest || belongs == UnnamedRequest && x.conn.exchanges == 1 {
+		if x.isOwn(resp) {
 			x.prepare(resp)
 			return resp, nil
 		}
-		if belongs == UnnamedRequest {
+		if x.call.Belongs(resp) == UnnamedRequest {
 			return nil, failure(contract.MayHaveRun, "an answer does not tell to which request of the connection it belongs", nil)
 		}
 		if err := frame.Discard(resp.Body, maxSkippedBytes); err != nil {
@@ -190,6 +220,12 @@
 	return nil, failure(contract.MayHaveRun, "the server sent answers to other requests only", nil)
 }
 
+// isOwn reports whether an answer is taken for the one to the request.
+func (x *exchange) isOwn(resp *http.Response) bool {
+	belongs := x.call.Belongs(resp)
+	return belongs == OwnRequest || belongs == UnnamedRequest && x.conn.exchanges == 1
+}
+
 func (x *exchange) prepare(resp *http.Response) {
 	select {
 	case err := <-x.written:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -211,6 +211,17 @@
 	p.addOpen(address, -1)
 }
 
+// closeIdle closes the idle connections to an address, which is silent on one of them.
+func (p *Pool) closeIdle(address string) {
+	p.mu.Lock()
+	idle := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.close(address, c)
+	}
+}
+
 // Sweep closes the connections that have been idle for longer than their limit.
 func (p *Pool) Sweep(now time.Time) {
 	type expired struct {
