origin: a version retires before it leaves the list of its pool

It can happen here, seen in TestInstanceOutOfStepRemovesNoVersionThatServesAgain (red before: a stream of v2 is taken for one of v1): a version that had left nearly 30 s before joins again, and is still in the list, so that others begin streams on it without a write. Until the others add it again, the list has a single version, and every resumption of these streams goes there.

A version is marked as retiring 20 s after its last server was seen, stays in the list, and begins no streams until the mark is taken away; it leaves 10 s later at the earliest. Whoever sees it serve has to write the list, so that the write of an instance out of step fails. Earlier builds ignore the mark and treat the version as listed. TestListIsCompleteOnceNoUnknownStreamCanBeLeft and TestVersionLeavesTheListAfterItsStreams look at the servers within the time and expect the mark.

--- a/internal/origin/ledger.go
+++ b/internal/origin/ledger.go
@@ -10,6 +10,11 @@
 	// retention is how long a stream that broke off, and a version that has left a pool, may
 	// still be asked for. Callers resume a stream within seconds or give it up.
 	retention = 30 * time.Second
+	// retireAge is how long no server of a version was seen before it is marked as retiring, and
+	// retireTime the least time that it is, before it leaves the list: an instance that was out of
+	// step finds the list changed if the version serves again.
+	retireAge  = 20 * time.Second
+	retireTime = 10 * time.Second
 	// recordRefresh is the age at which the record of a stream in flight is written again,
 	// so that it outlives the lease that it was written under.
 	recordRefresh = 20 * time.Second
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -76,7 +76,7 @@
 
 // encodeList returns the stored form of a pool's list.
 func encodeList(l list) ([]byte, error) {
-	value, err := proto.Marshal(&pb.PoolVersions{Versions: l.versions, Era: l.era})
+	value, err := proto.Marshal(&pb.PoolVersions{Versions: l.versions, Era: l.era, Retiring: l.retiring})
 	if err != nil {
 		return nil, fmt.Errorf("encode the list of versions: %w", err)
 	}
@@ -93,6 +93,6 @@
 	if err := proto.Unmarshal(item.Value, &m); err != nil {
 		return l, fmt.Errorf("decode the list of versions %s: %w", item.Key, err)
 	}
-	l.versions, l.era = m.GetVersions(), m.GetEra()
+	l.versions, l.era, l.retiring = m.GetVersions(), m.GetEra(), m.GetRetiring()
 	return l, nil
 }
--- a/internal/origin/tracker.go
+++ b/internal/origin/tracker.go
@@ -189,7 +189,7 @@
 		return l, false
 	}
 	t.options.Log.WithFields(logrus.Fields{
-		"event": "versions_listed", "key": item.Key, "versions": strings.Join(l.versions, ","), "era": l.era, "revision": l.revision.Number,
+		"event": "versions_listed", "key": item.Key, "versions": strings.Join(l.versions, ","), "retiring": strings.Join(l.retiring, ","), "era": l.era, "revision": l.revision.Number,
 	}).Info("the versions that may have begun streams of a pool changed")
 	return l, true
 }
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -18,6 +18,8 @@
 // list is a pool's list of versions as the store has it.
 type list struct {
 	versions []string
+	// retiring holds those of the versions that leave the list next.
+	retiring []string
 	// era is the store's era in which the list was known to be complete.
 	era      uint64
 	revision store.Revision
@@ -33,8 +35,9 @@
 
 // versions follows the lists of the pools' versions and decides how they have to change. A
 // version is listed before it begins its first stream, and until retention after its last
-// server was seen, so that a list has the versions of all streams. It is safe for concurrent
-// use.
+// server was seen, so that a list has the versions of all streams. It retires before it leaves:
+// an instance that sees its servers again has to change the list before they begin streams. It
+// is safe for concurrent use.
 type versions struct {
 	lists atomic.Pointer[map[string]list]
 
@@ -42,6 +45,8 @@
 	// seen holds when a version of a pool's servers was last seen, also for versions that
 	// are listed and were not seen since this process started.
 	seen map[string]map[string]time.Time
+	// retiring holds since when a version of a pool is known here to be retiring.
+	retiring map[string]map[string]time.Time
 	// firstEra is the era of the first list that this process read, and era the current one,
 	// since eraSince.
 	firstEra uint64
@@ -50,7 +55,7 @@
 }
 
 func newVersions() *versions {
-	v := &versions{seen: make(map[string]map[string]time.Time)}
+	v := &versions{seen: make(map[string]map[string]time.Time), retiring: make(map[string]map[string]time.Time)}
 	v.lists.Store(&map[string]list{})
 	return v
 }
@@ -60,7 +65,8 @@
 
 // isListed reports whether servers of a version may begin streams.
 func (v *versions) isListed(pool, version string) bool {
-	return slices.Contains(v.get(pool).versions, version)
+	known := v.get(pool)
+	return slices.Contains(known.versions, version) && !slices.Contains(known.retiring, version)
 }
 
 // set records a pool's list as the store has it; an empty one if the store has none.
@@ -78,8 +84,27 @@
 	if l.revision.Era == old.revision.Era {
 		v.forgetRemoved(pool, l.versions, now)
 	}
+	v.noteList(pool, l, now)
+}
+
+// noteList notes the versions of a list: those that do not retire as seen, unless they are known,
+// and since when the others retire.
+func (v *versions) noteList(pool string, l list, now time.Time) {
+	before := v.retiring[pool]
+	v.retiring[pool] = make(map[string]time.Time)
 	for _, version := range l.versions {
-		v.see(pool, version, now, false)
+		if !slices.Contains(l.retiring, version) {
+			v.see(pool, version, now, false)
+			continue
+		}
+		since, known := before[version]
+		if !known {
+			since = now
+		}
+		v.retiring[pool][version] = since
+		if now.Sub(v.seen[pool][version]) > recentlySeen {
+			delete(v.seen[pool], version)
+		}
 	}
 }
 
@@ -101,9 +126,7 @@
 	defer v.mu.Unlock()
 	v.lists.Store(&lists)
 	for pool, l := range lists {
-		for _, version := range l.versions {
-			v.see(pool, version, now, false)
-		}
+		v.noteList(pool, l, now)
 	}
 }
 
@@ -162,11 +185,8 @@
 	var out []change
 	for _, pool := range pools {
 		known := v.get(pool)
-		wanted := list{versions: v.wanted(pool, now), era: known.era}
-		if v.isComplete(now) {
-			wanted.era = v.era
-		}
-		if len(wanted.versions) == 0 || (wanted.era == known.era && slices.Equal(wanted.versions, known.versions)) {
+		wanted := v.wanted(pool, known, now)
+		if len(wanted.versions) == 0 || wanted.holdsSameAs(known) {
 			continue
 		}
 		out = append(out, change{pool: pool, list: wanted, expected: known.revision})
@@ -174,8 +194,42 @@
 	return out
 }
 
-// wanted returns the versions of a pool, in order, that were seen within retention.
-func (v *versions) wanted(pool string, now time.Time) []string {
+// holdsSameAs reports whether two lists say the same.
+func (l list) holdsSameAs(other list) bool {
+	return l.era == other.era && slices.Equal(l.versions, other.versions) && slices.Equal(l.retiring, other.retiring)
+}
+
+// wanted returns the list of a pool as it should be: versions that were seen lately, and those
+// that retire.
+func (v *versions) wanted(pool string, known list, now time.Time) list {
+	wanted := list{era: known.era}
+	if v.isComplete(now) {
+		wanted.era = v.era
+	}
 	maps.DeleteFunc(v.seen[pool], func(_ string, at time.Time) bool { return now.Sub(at) > retention })
-	return slices.Sorted(maps.Keys(v.seen[pool]))
+	current := make(map[string]bool)
+	for version, at := range v.seen[pool] {
+		current[version] = now.Sub(at) <= retireAge
+	}
+	for _, version := range known.versions {
+		if !current[version] && !v.hasRetired(pool, version, now) {
+			wanted.retiring = append(wanted.retiring, version)
+		}
+	}
+	for version, isCurrent := range current {
+		if isCurrent {
+			wanted.versions = append(wanted.versions, version)
+		}
+	}
+	wanted.versions = append(wanted.versions, wanted.retiring...)
+	slices.Sort(wanted.versions)
+	slices.Sort(wanted.retiring)
+	return wanted
+}
+
+// hasRetired reports whether a version of a list may leave it.
+func (v *versions) hasRetired(pool, version string, now time.Time) bool {
+	since, ok := v.retiring[pool][version]
+	_, isSeen := v.seen[pool][version]
+	return ok && !isSeen && now.Sub(since) >= retireTime
 }
