drain, serve, entry: a stopping instance takes only requests that can end, and answers those that did not

A report of other operators: requests that came late in the grace period were taken and cut at its end with no answer, among them some that must not be repeated. It can happen here: requests were taken for 2.8 s whatever the grace period and the request's time, and what was left was cut with its connection.

internal/drain plans the stop by the grace period: connections close from 0.28 of it (2.2 s at most), all requests are refused from 0.35 (2.8 s at most) on, and before that those that need longer than is left: as long as the last 64 of the route took, with a margin, the longest of them for one that must not be repeated, its own time limit while little is known. They are refused as not run; requests of other instances are declined. What is left shortly before 0.94 ends with an error and its verdict.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,34 +5,36 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-)
 
-const (
-	// balancerDelay is how long the load balancer may send new connections after the
-	// first failed readiness check.
-	balancerDelay = 2200 * time.Millisecond
-	// refuseDelay is the time from the stop signal until new requests are refused:
-	// later ones might not end within the grace period.
-	refuseDelay = 2800 * time.Millisecond
-	// graceShare is the part of the grace period after which running requests are
-	// aborted.
-	graceShare = 0.94
+	"kumquatyard/internal/drain"
 )
 
-// stop fails the readiness check so that the load balancer sends no new connections,
-// then refuses new requests, and lets running ones finish within the grace period.
+// stop fails the readiness check so that the load balancer sends no new connections, takes only
+// requests that can end in time, then none, and lets running ones finish. Those that are left near
+// the end of the grace period are ended with an error.
 func (i *Instance) stop() {
 	start, grace := time.Now(), i.reloadable.Load().GracePeriod
+	plan := drain.NewPlan(start, grace)
 	i.stopping.Store(true)
-	i.Log.WithFields(logrus.Fields{"event": "stopping", "running": i.core.Running(), "grace_ms": grace.Milliseconds()}).Info("stop signal received; running requests may finish within the grace period, new ones are soon refused")
-	time.Sleep(balancerDelay)
+	i.core.Stop(plan)
+	i.Log.WithFields(logrus.Fields{
+		"event": "stopping", "running": i.core.Running(), "grace_ms": grace.Milliseconds(), "refuse_after_ms": plan.Refuse().Sub(start).Milliseconds(), "abort_after_ms": plan.Abort().Sub(start).Milliseconds(),
+	}).Info("stop signal received; running requests may finish within the grace period, new ones are taken if they can and soon refused")
+	time.Sleep(time.Until(plan.CloseConnections()))
 	i.frontend.CloseConnections()
-	time.Sleep(refuseDelay - balancerDelay)
+	time.Sleep(time.Until(plan.Refuse()))
 	i.frontend.RefuseWork()
-	end := start.Add(time.Duration(graceShare * float64(grace)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	abort := time.AfterFunc(time.Until(plan.Abort()), i.abort)
+	defer abort.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End())
 	defer cancel()
 	if err := i.frontend.Shutdown(ctx); err != nil {
-		i.Log.WithFields(logrus.Fields{"event": "stop_cut", "running": i.core.Running()}).WithError(err).Warn("grace period is over; aborting running requests")
+		i.Log.WithFields(logrus.Fields{"event": "stop_cut", "running": i.core.Running()}).WithError(err).Warn("grace period is over; closing the connections of running requests")
 	}
 }
+
+// abort ends the requests that are left.
+func (i *Instance) abort() {
+	i.Log.WithFields(logrus.Fields{"event": "stop_abort", "running": i.core.Running()}).Warn("grace period is nearly over; ending running requests with an error")
+	i.core.Abort()
+}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -21,7 +21,9 @@
 	Workspaces map[string]*Workspace
 
 	hosts map[string][]*Route
-	keys  map[string]*Workspace
+	// routes holds the names of the routes.
+	routes map[string]bool
+	keys   map[string]*Workspace
 	// resumable holds the names of the pools whose streams may be resumed.
 	resumable []string
 }
@@ -156,6 +158,7 @@
 		Pools:      make(map[string]*Pool, len(pools)),
 		Workspaces: make(map[string]*Workspace, len(workspaces)),
 		hosts:      make(map[string][]*Route),
+		routes:     make(map[string]bool, len(routes)),
 		keys:       make(map[string]*Workspace),
 	}
 	for _, p := range pools {
@@ -164,6 +167,7 @@
 	for _, r := range routes {
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
+		c.routes[r.Name] = true
 	}
 	c.resumable = resumablePools(routes)
 	for _, list := range c.hosts {
@@ -210,6 +214,9 @@
 	return nil
 }
 
+// HasRoute reports whether there is a route of a name.
+func (c *Config) HasRoute(name string) bool { return c.routes[name] }
+
 // Authenticates reports whether the configuration has workspaces, so that requests to
 // non-public routes need an API key.
 func (c *Config) Authenticates() bool { return len(c.Workspaces) > 0 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -13,6 +13,7 @@
 	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/demand"
+	"kumquatyard/internal/drain"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/handover"
@@ -91,6 +92,13 @@
 	paths   *reach.Watch
 	probing atomic.Bool
 	ends    endChecks
+
+	// stopPlan is set once the instance is stopping, and durations tells how long requests take.
+	stopPlan  atomic.Pointer[drain.Plan]
+	durations drain.Durations
+	// lifetime ends when the requests in flight are ended, by endRequests.
+	lifetime    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // ejectionSettings eject a failing server for seconds only, since servers are
@@ -118,7 +126,10 @@
 		o.Limits = ratelimit.New("", o.Log)
 		o.Limits.SetInstances(nil, time.Now())
 	}
-	return &Server{Options: o, streams: newStreams(), paths: reach.New(), outliers: outlier.New(ejectionSettings)}
+	lifetime, endRequests := context.WithCancelCause(context.Background())
+	return &Server{
+		Options: o, streams: newStreams(), paths: reach.New(), outliers: outlier.New(ejectionSettings), lifetime: lifetime, endRequests: endRequests,
+	}
 }
 
 // Running returns the number of requests in flight.
@@ -142,9 +153,26 @@
 	if end.IsZero() {
 		end = req.Arrived.Add(maxRequestTime)
 	}
+	if err := s.refuseWhileStopping(req, end, time.Now()); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	ctx, abort := context.WithCancelCause(ctx)
+	defer abort(nil)
+	defer context.AfterFunc(s.lifetime, func() { abort(context.Cause(s.lifetime)) })()
 	r := &run{server: s, ctx: ctx, req: req, caller: caller}
+	err := s.serveCharged(r)
+	if err == nil {
+		s.durations.Record(req.Route.Name, time.Since(req.Arrived))
+	}
+	return err
+}
+
+// serveCharged serves a request and charges it to its workspace's quota, unless the instance that
+// handed it over has.
+func (s *Server) serveCharged(r *run) error {
+	req := r.req
 	if req.HandedOver {
 		return r.serve()
 	}
@@ -247,6 +275,7 @@
 	s.ejected.Store(&ejected)
 	isKnown := func(id machine.ID) bool { _, ok := known[id]; return ok }
 	s.Predictor.Retain(isKnown)
+	s.durations.Retain(p.Config.HasRoute)
 	s.backoffs.retain(isKnown)
 	s.paths.Retain(isKnown, func(pool string) bool { return len(p.Servers[pool]) > 0 })
 	s.Limits.Retain(isKnown, now)
