--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -1,6 +1,9 @@
 package httpcall
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -36,3 +39,35 @@
 		})
 	}
 }
+
+// Guards against heads that end early and are taken for whole answers (issue 36): a service stops
+// anywhere in the head of its answer and closes. The call may have taken effect.
+func TestHeadThatEndsEarlyIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nStore: s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nStore: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nStore: s\r\n\r\n",
+	} {
+		for end := range len(head) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, head[:end])
+				}
+			}()
+			reply, err := New(l.Addr().String(), time.Second).Do(t.Context(), Call{Method: http.MethodGet, Path: "/a"})
+			if err == nil || contract.VerdictOf(err) != contract.MayHaveRun {
+				t.Errorf("head %q: reply %+v, error %v, want an error that the call may have taken effect", head[:end], reply, err)
+			}
+			_ = l.Close()
+		}
+	}
+}
