serve: a request whose time is over blames no instance and no path

Cause: an attempt to connect is given up at the request's deadline, and fails at once after it, while the context's own timer has not run yet: its Err is nil, so that the failure counted as the other instance's, and the next one was asked. The same test of the context decides whether a path to a server is taken for down, whether a server is suspected, and whether a request is sent on.

All of these ask run.isOver now, which looks at the deadline as well.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -119,7 +119,7 @@
 		if !r.sentAt.IsZero() {
 			r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
 		}
-		if r.ctx.Err() == nil {
+		if !r.isOver() {
 			outcome := reach.Silent
 			if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
 				outcome = reach.Refused
@@ -131,7 +131,7 @@
 	}
 	r.attempts++
 	r.mayHaveRun = true
-	if r.ctx.Err() == nil && !r.server.paths.IsDown(pathTo(server)) {
+	if !r.isOver() && !r.server.paths.IsDown(pathTo(server)) {
 		r.server.suspect(server.ID, now)
 		r.server.observe(server.ID, true)
 	}
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -42,7 +42,7 @@
 // mayHandOver reports whether the request may be handed over: neither has another instance handed
 // it over nor has its caller got a part of the answer, and it may be sent to one more server.
 func (r *run) mayHandOver() bool {
-	if r.req.HandedOver || r.handedOver || r.headSent || r.ctx.Err() != nil || r.server.OtherInstances == nil {
+	if r.req.HandedOver || r.handedOver || r.headSent || r.isOver() || r.server.OtherInstances == nil {
 		return false
 	}
 	return r.attempts < r.req.MaxAttempts() && (!r.mayHaveRun || r.req.Route.MayRepeat())
@@ -73,7 +73,7 @@
 	}
 	r.handedOver = true
 	search := r.server.Helpers.Search(r.server.OtherInstances(), r.pool, rand.New(rand.NewPCG(seed(), 0)))
-	for r.ctx.Err() == nil {
+	for !r.isOver() {
 		helper, ok := search.Next(time.Now())
 		if !ok {
 			break
@@ -99,7 +99,7 @@
 	case err == nil:
 		r.server.Helpers.Took(helper, r.pool)
 		err = r.relayHandedOver(answer)
-	case r.ctx.Err() != nil:
+	case r.isOver():
 	case errors.Is(err, ErrHelperLost):
 		r.server.Helpers.Silent(helper, r.pool, now)
 	case errors.Is(err, ErrDeclined):
@@ -123,7 +123,7 @@
 
 // mayOfferAgain reports whether a request may go to one more instance after one was lost.
 func (r *run) mayOfferAgain() bool {
-	if r.headSent || r.ctx.Err() != nil {
+	if r.headSent || r.isOver() {
 		return false
 	}
 	if !r.mayHaveRun {
--- a/internal/serve/handover_test.go
+++ b/internal/serve/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -212,3 +213,32 @@
 		})
 	}
 }
+
+// overdue is a context whose deadline has passed, and whose timer has not run yet.
+type overdue struct{ context.Context }
+
+// Deadline implements context.Context.
+func (overdue) Deadline() (time.Time, bool) { return time.Now().Add(-time.Microsecond), true }
+
+// Guards against requests whose time is over and that are held against all others (issue 36, RECOVER): a
+// connection is given up at the deadline, before the context says that it has passed.
+func TestRequestWhoseTimeIsOverBlamesNobody(t *testing.T) {
+	f, b := newHelpedFixture(func(handover.Helper, *Request) (*Answer, error) { return nil, lost(contract.NotRun) })
+	f.paths.Judge("p", false, time.Now())
+	r := &run{server: f.Server, ctx: overdue{t.Context()}, req: request(idempotent), caller: &fakeCaller{}, pool: "p"}
+	if handled, err := r.handOver(); handled {
+		t.Errorf("handled, error %v", err)
+	}
+	if len(b.offers) > 1 {
+		t.Errorf("a request whose time is over was offered to %d instances", len(b.offers))
+	}
+	if h, ok := f.Helpers.Search(f.OtherInstances(), "p", rand.New(rand.NewPCG(1, 1))).Next(time.Now()); !ok {
+		t.Errorf("helper %v, found %v: instances are left out since the time of a request was over", h, ok)
+	}
+	server := f.Snapshot().Servers["p"][0]
+	f.paths.Judge("p", true, time.Now())
+	_ = r.recordUnanswered(server, verdictError(contract.NotRun))
+	if f.paths.IsDown(pathTo(server)) {
+		t.Error("the path to a server is taken for down since the time of a request was over")
+	}
+}
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -125,7 +125,7 @@
 // evidence against the request and the parts of its prompt, unless it had been answered at
 // length.
 func (r *run) recordLoss(server *fleet.Server, err error) {
-	if r.answered || r.ctx.Err() != nil || contract.VerdictOf(err) != contract.MayHaveRun {
+	if r.answered || r.isOver() || contract.VerdictOf(err) != contract.MayHaveRun {
 		return
 	}
 	if errors.Is(err, errFirstByteTimeout) || errors.Is(err, errPathsLost) {
--- a/internal/serve/move.go
+++ b/internal/serve/move.go
@@ -261,7 +261,7 @@
 		exclude = append(exclude, to.ID)
 		err := r.moveTo(mover, m, from, to)
 		r.logMove(m, from, to, err)
-		if err == nil || m.handle.ID != "" || errors.Is(err, ErrNotRunning) || r.ctx.Err() != nil {
+		if err == nil || m.handle.ID != "" || errors.Is(err, ErrNotRunning) || r.isOver() {
 			return
 		}
 	}
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -58,7 +58,7 @@
 // mayRepeatFailure reports whether the request is sent to another server after a
 // server's 5xx answer; otherwise that answer is forwarded to the caller.
 func (r *run) mayRepeatFailure() bool {
-	if !r.req.Route.MayRepeat() || r.attempts >= r.req.MaxAttempts() || r.ctx.Err() != nil || !r.hasUntriedServer() || r.isSuspected() {
+	if !r.req.Route.MayRepeat() || r.attempts >= r.req.MaxAttempts() || r.isOver() || !r.hasUntriedServer() || r.isSuspected() {
 		return false
 	}
 	r.retryGranted = r.server.Budget.Take(r.pool, time.Now())
--- a/internal/serve/refuse.go
+++ b/internal/serve/refuse.go
@@ -74,7 +74,7 @@
 func (r *run) logBroken(err error) {
 	brokenTotal.Inc()
 	message := "the answer broke off at the server"
-	if r.ctx.Err() != nil {
+	if r.isOver() {
 		message = "the caller disconnected or the deadline passed before the end of the answer"
 	}
 	r.server.Log.WithFields(r.fields(r.lastCandidate)).WithField("event", "request_broken").WithError(err).Info(message)
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -252,9 +252,16 @@
 	}
 }
 
+// isOver reports whether the caller has left or the request's time is over. The deadline counts by
+// itself: connections are given up at it, perhaps before the context says that it has passed.
+func (r *run) isOver() bool {
+	deadline, ok := r.ctx.Deadline()
+	return r.ctx.Err() != nil || ok && !time.Now().Before(deadline)
+}
+
 // mayRetry reports whether the request may be sent to another server.
 func (r *run) mayRetry(err error) bool {
-	if r.ctx.Err() != nil {
+	if r.isOver() {
 		return false
 	}
 	var e *contract.Error
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -82,7 +82,7 @@
 		if err != nil {
 			r.incompleteBytes = events.IncompleteBytes()
 			r.mayHaveRun = true
-			if r.ctx.Err() == nil {
+			if !r.isOver() {
 				r.server.observe(server.ID, true)
 			}
 			return false, contract.Unavailable(contract.MayHaveRun, "the server's stream broke off", err)
