handover: offers in vain are bounded while instances announce what they do not reach

Without announcements there is no bound, since offers are the only way to know. Test red before. A request that is offered to nobody, while some servers are reached, is no longer logged.

--- a/internal/handover/directory.go
+++ b/internal/handover/directory.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"kumquatyard/internal/rollup"
 	pb "kumquatyard/proto/kumquat/v1"
 )
@@ -21,6 +23,11 @@
 	// vainOffers is the number of offers in a row that no instance of a zone took after which the
 	// zone is avoided, for pauses that grow as those of an instance do.
 	vainOffers = 3
+	// vainBurst and vainPerSecond bound the offers in vain for a pool while others announce what
+	// they do not reach: where all of them lose it, each one would ask each other one until that
+	// is announced. Beyond the bound only instances are asked that took a request.
+	vainBurst     = 30
+	vainPerSecond = 20
 	// announcementTime is how long an announcement holds that is not repeated.
 	announcementTime = 3 * time.Second
 )
@@ -73,16 +80,24 @@
 type Directory struct {
 	zone string
 
-	mu          sync.Mutex
-	pauses      map[subject]pause
-	zones       map[zoneSubject]zoneRecord
+	mu     sync.Mutex
+	pauses map[subject]pause
+	zones  map[zoneSubject]zoneRecord
+	// takers holds the instances that took the last request of a pool that they were offered, and
+	// vain bounds the offers in vain for each pool.
+	takers map[subject]bool
+	vain   map[string]*rate.Limiter
+	// announced is what was announced, last at announcedAt.
 	announced   Unreached
 	announcedAt time.Time
 }
 
 // NewDirectory returns a Directory of an instance in a zone.
 func NewDirectory(zone string) *Directory {
-	return &Directory{zone: zone, pauses: make(map[subject]pause), zones: make(map[zoneSubject]zoneRecord)}
+	return &Directory{
+		zone: zone, pauses: make(map[subject]pause), zones: make(map[zoneSubject]zoneRecord),
+		takers: make(map[subject]bool), vain: make(map[string]*rate.Limiter),
+	}
 }
 
 // Announce replaces what the instances have announced, and reports whether that changes anything.
@@ -109,6 +124,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	maps.DeleteFunc(d.pauses, func(s subject, _ pause) bool { return !keep(s.helper) })
+	maps.DeleteFunc(d.takers, func(s subject, _ bool) bool { return !keep(s.helper) })
 }
 
 // Declined records that an instance did not take a request of a pool.
@@ -131,6 +147,24 @@
 		zone.pause = zone.next(now)
 	}
 	d.zones[z] = zone
+	delete(d.takers, subject{s.helper, z.pool})
+	d.limiter(z.pool).AllowN(now, 1)
+}
+
+// limiter returns what bounds the offers in vain for a pool. It is called with mu held.
+func (d *Directory) limiter(pool string) *rate.Limiter {
+	l := d.vain[pool]
+	if l == nil {
+		l = rate.NewLimiter(vainPerSecond, vainBurst)
+		d.vain[pool] = l
+	}
+	return l
+}
+
+// mayBeInVain reports whether a request of a pool may be offered to an instance of which nothing is
+// known. It is called with mu held.
+func (d *Directory) mayBeInVain(pool string, now time.Time) bool {
+	return now.Sub(d.announcedAt) >= announcementTime || d.limiter(pool).TokensAt(now) >= 1
 }
 
 // next returns the pause after another offer in vain.
@@ -149,6 +183,7 @@
 	delete(d.pauses, subject{h.Name, pool})
 	delete(d.pauses, subject{h.Name, ""})
 	delete(d.zones, zoneSubject{h.Zone, pool})
+	d.takers[subject{h.Name, pool}] = true
 }
 
 // isOut reports whether an instance is left out for a pool. It is called with mu held.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -141,6 +141,37 @@
 	}
 }
 
+// Guards against a storm of offers (issue 36): all instances lose a pool at once, as its servers are
+// gone, and each one asks each other one until the loss is announced.
+func TestOffersInVainAreBounded(t *testing.T) {
+	d, helpers, r := NewDirectory("z0"), zones(99, 100, 100), random()
+	offers := 0
+	const length, step = 3 * time.Second, 20 * time.Millisecond
+	for at := time.Duration(0); at < length; at += step {
+		d.Announce(nil, after(at))
+		search := d.Search(helpers, "p", r)
+		for {
+			h, ok := search.Next(after(at))
+			if !ok {
+				break
+			}
+			offers++
+			d.Declined(h, "p", after(at))
+		}
+	}
+	if bound := vainBurst + int(vainPerSecond*length.Seconds()) + 1; offers > bound {
+		t.Errorf("%d offers in %v, want at most %d", offers, length, bound)
+	}
+	d.Took(helpers[0], "p")
+	for range vainBurst {
+		if h, ok := d.Search(helpers, "p", r).Next(after(length)); !ok {
+			t.Error("an instance that took a request is not asked")
+		} else if h != helpers[0] {
+			d.Declined(h, "p", after(length))
+		}
+	}
+}
+
 // simulatedFleet holds instances without paths, and silent ones.
 type simulatedFleet struct {
 	sizes []int
--- a/internal/handover/search.go
+++ b/internal/handover/search.go
@@ -54,11 +54,12 @@
 func (s *Search) candidates(now time.Time) (near, far []Helper) {
 	s.leftOut = 0
 	best := 0
+	takersOnly := !s.directory.mayBeInVain(s.pool, now)
 	for _, h := range s.helpers {
 		if s.offered[h.Name] {
 			continue
 		}
-		if s.directory.isOut(h.Name, s.pool, now) {
+		if s.directory.isOut(h.Name, s.pool, now) || takersOnly && !s.directory.takers[subject{h.Name, s.pool}] {
 			s.leftOut++
 			continue
 		}
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -84,7 +84,9 @@
 			return true, err
 		}
 	}
-	r.logNoHelper(search.LeftOut())
+	if r.offers > 0 || r.server.paths.Lost(r.pool) {
+		r.logNoHelper(search.LeftOut())
+	}
 	if err != nil && contract.VerdictOf(err) != contract.NotRun {
 		return true, err
 	}
