drain: streams and requests that may be repeated are taken by how long most of the route take

The plan of a stop judged every request that must not be repeated by the longest of the last 64, with a margin. Only plain requests that must not be repeated, whose caller cannot tell what became of them, are judged so now; others are taken if three quarters of the last ones would have ended.

--- a/internal/drain/durations.go
+++ b/internal/drain/durations.go
@@ -12,10 +12,11 @@
 	// which on they tell how long the next one takes.
 	kept  = 64
 	known = 8
-	// margin is the factor by which a request may take longer than the earlier ones, and
-	// repeatableShare the share of these that is considered for one that may be repeated.
-	margin          = 1.5
-	repeatableShare = 0.9
+	// margin is the factor by which a request may take longer than the longest of the earlier
+	// ones if its outcome must be known, and usualShare the share of these that others are
+	// compared with: most of those end, and a refusal may cost their callers more.
+	margin     = 1.5
+	usualShare = 0.75
 )
 
 // Durations tells how long requests take, by route. It is safe for concurrent use.
@@ -39,20 +40,19 @@
 	r.times[r.next.Add(1)%kept].Store(int64(max(took, 1)))
 }
 
-// Need returns the time that a request of a route needs: with a margin, as long as the longest of the
-// last ones, or as most of them if it may be repeated. It is at most limit, the time that the
-// request has, which is returned while little is known of the route.
-func (d *Durations) Need(name string, mayRepeat bool, limit time.Duration) time.Duration {
+// Need returns the time that a request of a route needs: as long as most of the last ones or, if it
+// must end, as the longest of them, with a margin. It is at most limit, the time that the request
+// has, which is returned while little is known of the route.
+func (d *Durations) Need(name string, mustEnd bool, limit time.Duration) time.Duration {
 	times := d.times(name)
 	if len(times) < known {
 		return limit
 	}
 	slices.Sort(times)
-	typical := times[len(times)-1]
-	if mayRepeat {
-		typical = times[int(repeatableShare*float64(len(times)-1))]
+	if mustEnd {
+		return min(limit, time.Duration(margin*float64(times[len(times)-1])))
 	}
-	return min(limit, time.Duration(margin*float64(typical)))
+	return min(limit, times[int(usualShare*float64(len(times)-1))])
 }
 
 func (d *Durations) times(name string) (list []time.Duration) {
--- a/internal/serve/stopping.go
+++ b/internal/serve/stopping.go
@@ -29,7 +29,8 @@
 	if plan == nil {
 		return nil
 	}
-	need := s.durations.Need(req.Route.Name, req.Route.MayRepeat(), end.Sub(now))
+	mustEnd := !req.Route.MayRepeat() && !req.Route.Stream
+	need := s.durations.Need(req.Route.Name, mustEnd, end.Sub(now))
 	if !req.HandedOver && plan.Takes(need, now) {
 		return nil
 	}
