--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -5,4 +5,5 @@
 // cases holds the cases by name. trouble is false if the disruption is left out.
 var cases = map[string]func(f *Fleet, trouble bool) (Verdict, error){
 	"moved-twice": movedTwice,
+	"hup-stop":    hupWhileStopping,
 }
