--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -7,4 +7,5 @@
 	"moved-twice":  movedTwice,
 	"hup-stop":     hupWhileStopping,
 	"plain-stream": plainStream,
+	"new-holder":   newHolder,
 }
