Review, case 5: a window is reported again with other counts after a restore (ONE)

Reporter.maybeReported asks the follower for the store's era, which a relayed instance learns later than the answer that lacks the stored report. The restarted holder stores other counts in the new era, and sends them once it has the duties again.

--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -8,4 +8,5 @@
 	"hup-stop":     hupWhileStopping,
 	"plain-stream": plainStream,
 	"new-holder":   newHolder,
+	"drill":        drill,
 }
