serve: what a whole request has done decides about its next attempt; a stopped run goes on only with its handle

Cause: mayRetry asked whether anything of the latest attempt was sent before it asked whether the request may have run, and nothing recorded that a stopped run has run. Why this works: execution holds the verdict over all attempts, and each decision asks it; a stopped run is continued with its handle at the servers that hold its KV cache (the destination, then the one that stopped it, also while it is leaving, until its drain time is over), and never sent anew unless the route may be repeated. A stop without an answer is asked once more; one without a handle is a failure.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -54,7 +54,7 @@
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
 			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps, StoreWritesPerSecond: s.StoreWritesPerSecond,
-			RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Reloadable: reloadableSettings(s),
+			DrainTime: s.DrainTime, RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Reloadable: reloadableSettings(s),
 		},
 		Store:   client,
 		Backend: platform.NewBackend(connections, log),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,7 +116,7 @@
 		WritesPerSecond: recordShare * o.Settings.StoreWritesPerSecond, Log: o.Log,
 	})
 	i.core = serve.New(serve.Options{
-		Zone: o.Settings.Zone, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
+		Zone: o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
 		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -31,6 +31,9 @@
 	// instances together; 0 if it is not known.
 	StoreWritesPerSecond float64
 
+	// DrainTime is how long a server may get requests after it was announced that it leaves; 0
+	// if it is not known.
+	DrainTime   time.Duration
 	RetryWindow time.Duration
 	UsageWindow time.Duration
 	Reloadable  ReloadableSettings
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -130,7 +130,7 @@
 		return errors.Join(err, errUnreachable)
 	}
 	r.attempts++
-	r.mayHaveRun = true
+	r.execution.record(contract.MayHaveRun)
 	if !r.isOver() && !r.server.paths.IsDown(pathTo(server)) {
 		r.server.suspect(server.ID, now)
 		r.server.observe(server.ID, true)
@@ -152,7 +152,7 @@
 
 // recordStart counts the request as started for the workspace's usage, once per request.
 func (r *run) recordStart() {
-	r.ran = true
+	r.execution.record(contract.Ran)
 	if r.startCounted {
 		return
 	}
--- a/internal/serve/continuation.go
+++ b/internal/serve/continuation.go
@@ -35,7 +35,7 @@
 	if r.continued || isComment(events) {
 		return nil
 	}
-	r.mayHaveRun = true
+	r.execution.record(contract.MayHaveRun)
 	return contract.Unavailable(contract.MayHaveRun, "the server's answer does not continue the stream after event "+r.lastEvent, nil)
 }
 
--- a/internal/serve/handover.go
+++ b/internal/serve/handover.go
@@ -45,7 +45,7 @@
 	if r.req.HandedOver || r.handedOver || r.headSent || r.isOver() || r.server.OtherInstances == nil {
 		return false
 	}
-	return r.attempts < r.req.MaxAttempts() && (!r.mayHaveRun || r.req.Route.MayRepeat())
+	return r.attempts < r.req.MaxAttempts() && r.execution.allowsNewRun(r.req.Route)
 }
 
 // mustHandOver reports whether this instance is known not to reach servers, or reaches so few that
@@ -111,8 +111,8 @@
 	default:
 		r.server.Helpers.Took(helper, r.pool)
 	}
-	if err != nil && contract.VerdictOf(err) != contract.NotRun {
-		r.mayHaveRun = true
+	if verdict := contract.VerdictOf(err); err != nil && verdict != contract.NotRun {
+		r.execution.record(verdict)
 		r.attempts++
 	}
 	if errors.Is(err, ErrHelperLost) && r.mayOfferAgain() {
@@ -128,10 +128,10 @@
 	if r.headSent || r.isOver() {
 		return false
 	}
-	if !r.mayHaveRun {
+	if r.execution.Verdict() == contract.NotRun {
 		return true
 	}
-	return r.req.Route.MayRepeat() && r.attempts < r.req.MaxAttempts() && r.server.Budget.Take(r.pool, time.Now())
+	return r.execution.allowsNewRun(r.req.Route) && r.attempts < r.req.MaxAttempts() && r.server.Budget.Take(r.pool, time.Now())
 }
 
 // logNoHelper logs that no other instance took the request. leftOut is the number of helpers to
@@ -157,7 +157,7 @@
 // before a part of it was forwarded is a failure; the request may have run.
 func (r *run) relayHandedOver(a *Answer) error {
 	defer a.Body.Close()
-	r.ran = true
+	r.execution.record(contract.Ran)
 	if r.req.Route.Stream && a.Status == http.StatusOK {
 		return r.relayHandedOverStream(a)
 	}
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -252,7 +252,7 @@
 	if r.refuseQuarantined(now) != nil {
 		return false
 	}
-	if !r.server.backoffs.wanted(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
+	if !r.mayGoTo(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
 		return false
 	}
 	if !r.server.Brittle.Take(server, now) {
@@ -264,6 +264,13 @@
 	return true
 }
 
+// mayGoTo reports whether the server has not asked for no further requests. A leaving server takes
+// back the run that it stopped.
+func (r *run) mayGoTo(server *fleet.Server, now time.Time) bool {
+	wait, returns := r.server.backoffs.remaining(server, now)
+	return wait == 0 && (returns || r.handle.ID != "")
+}
+
 // leaveRoom ends what isWanted charged to the server's room.
 func (r *run) leaveRoom(server *fleet.Server) {
 	if r.hasRoom {
--- a/internal/serve/move.go
+++ b/internal/serve/move.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,13 +56,16 @@
 	evacuationRetention = time.Minute
 	// maxDestinations is the number of servers that are tried as destinations.
 	maxDestinations = 3
+	// stopTries is how often a run is stopped as long as there is no answer.
+	stopTries = 2
 )
 
 // movePhase is the progress of a move.
 type movePhase int
 
 const (
-	moveCopying movePhase = iota
+	movePending movePhase = iota
+	moveCopying
 	// moveStopping lasts from the call to Stop until it returns.
 	moveStopping
 	moveEnded
@@ -73,10 +77,25 @@
 
 	mu    sync.Mutex
 	phase movePhase
-	// to is the server that continues the run with handle; the handle is empty when
-	// no server does.
-	to     *fleet.Server
-	handle Handle
+	// full are the servers that did not take the run's KV cache.
+	full []machine.ID
+	// stopped is set once the run was stopped.
+	stopped *errStopped
+}
+
+func newMove(full []machine.ID) *move {
+	return &move{done: make(chan struct{}), full: slices.Clone(full)}
+}
+
+// begin starts a pending move, and reports whether it was pending.
+func (m *move) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.phase != movePending {
+		return false
+	}
+	m.phase = moveCopying
+	return true
 }
 
 // advance enters a phase unless the move has ended, and reports whether it did.
@@ -107,6 +126,7 @@
 	return &streams{servers: make(map[machine.ID]*serverStreams), evacuating: make(map[machine.ID]time.Time)}
 }
 
+// add adds a stream with a pending move.
 func (s *streams) add(server *fleet.Server, r *run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,7 +135,7 @@
 		entry = &serverStreams{server: server, runs: make(map[*run]*move)}
 		s.servers[server.ID] = entry
 	}
-	entry.runs[r] = nil
+	entry.runs[r] = newMove(r.full)
 }
 
 // remove removes a run and returns its move, nil when there is none.
@@ -150,6 +170,13 @@
 	return list
 }
 
+// evacuatingSince returns when the evacuation of a server started.
+func (s *streams) evacuatingSince(id machine.ID) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuating[id]
+}
+
 // any reports whether a stream is in flight at a server.
 func (s *streams) any(id machine.ID) bool {
 	s.mu.Lock()
@@ -157,8 +184,8 @@
 	return s.servers[id] != nil
 }
 
-// beginMoves creates a move for each run at a server that has none, and returns
-// these runs with their moves.
+// beginMoves starts the pending moves of the runs at a server, and returns these runs with their
+// moves.
 func (s *streams) beginMoves(id machine.ID) map[*run]*move {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,9 +195,8 @@
 	}
 	moves := make(map[*run]*move)
 	for r, m := range entry.runs {
-		if m == nil {
-			m = &move{done: make(chan struct{})}
-			entry.runs[r], moves[r] = m, m
+		if m.begin() {
+			moves[r] = m
 		}
 	}
 	return moves
@@ -252,16 +278,14 @@
 func (r *run) move(mover Mover, m *move, from *fleet.Server) {
 	defer close(m.done)
 	defer m.advance(moveEnded)
-	exclude := []machine.ID{from.ID}
-	for range maxDestinations {
-		to, ok := r.destination(exclude)
+	for len(m.full) < maxDestinations {
+		to, ok := r.destination(append([]machine.ID{from.ID}, m.full...))
 		if !ok || !r.server.Budget.Take(r.pool, time.Now()) {
 			return
 		}
-		exclude = append(exclude, to.ID)
 		err := r.moveTo(mover, m, from, to)
 		r.logMove(m, from, to, err)
-		if err == nil || m.handle.ID != "" || errors.Is(err, ErrNotRunning) || r.isOver() {
+		if err == nil || m.stopped != nil || errors.Is(err, ErrNotRunning) || r.isOver() {
 			return
 		}
 	}
@@ -273,24 +297,49 @@
 	ctx, cancel := context.WithTimeout(r.ctx, moveTimeout)
 	defer cancel()
 	if err := mover.Copy(ctx, r.req.ID, from, to); err != nil {
+		m.full = append(m.full, to.ID)
 		return err
 	}
 	if !m.advance(moveStopping) {
 		return ErrNotRunning
 	}
-	ctx, cancelStop := context.WithTimeout(r.ctx, moveTimeout)
-	defer cancelStop()
-	handle, err := mover.Stop(ctx, r.req.ID, from, to)
-	if handle.ID == "" {
-		return err
+	handle, err := r.stopRun(mover, from, to)
+	stopped := &errStopped{handle: handle, source: from, sourceUntil: r.server.takesBackUntil(from.ID)}
+	if err == nil {
+		stopped.copiedTo = to
+	} else {
+		m.full = append(m.full, to.ID)
 	}
-	m.to, m.handle = to, handle
-	if err != nil {
-		m.to = from
+	if handle.ID != "" {
+		stopped.full = m.full
+		m.stopped = stopped
 	}
 	return err
 }
 
+// stopRun stops the run, and asks once more if there is no answer: the run may be stopped, and
+// only its handle can continue it.
+func (r *run) stopRun(mover Mover, from, to *fleet.Server) (handle Handle, err error) {
+	for range stopTries {
+		ctx, cancel := context.WithTimeout(r.ctx, moveTimeout)
+		handle, err = mover.Stop(ctx, r.req.ID, from, to)
+		cancel()
+		if err == nil || handle.ID != "" || errors.Is(err, ErrNotRunning) || contract.VerdictOf(err) == contract.NotRun || r.isOver() {
+			break
+		}
+	}
+	return handle, err
+}
+
+// takesBackUntil returns until when a leaving server may get a run back; zero means for as long
+// as it lives.
+func (s *Server) takesBackUntil(id machine.ID) time.Time {
+	if s.DrainTime == 0 {
+		return time.Time{}
+	}
+	return s.streams.evacuatingSince(id).Add(s.DrainTime - drainMargin)
+}
+
 // destination returns the least loaded server of the pool. The prediction assumes
 // that the whole prompt is cached there, since the move copies it.
 func (r *run) destination(exclude []machine.ID) (*fleet.Server, bool) {
@@ -303,41 +352,30 @@
 	return best.server, ok
 }
 
-// outcome returns where the run continues after its stream ended, nil when it does
-// not continue elsewhere. A stream that ended before the call to Stop either finished
+// outcome returns how the run continues after its stream ended, nil when it was not
+// stopped. A stream that ended before the call to Stop either finished
 // or lost its server, so its move is canceled.
-func (m *move) outcome() *errMoved {
+func (m *move) outcome() *errStopped {
 	if m == nil {
 		return nil
 	}
 	m.mu.Lock()
-	if m.phase == moveCopying {
+	if m.phase == movePending || m.phase == moveCopying {
 		m.phase = moveEnded
 		m.mu.Unlock()
 		return nil
 	}
 	m.mu.Unlock()
 	<-m.done
-	if m.handle.ID == "" {
-		return nil
-	}
-	return &errMoved{to: m.to, handle: m.handle}
+	return m.stopped
 }
 
-// errMoved ends an attempt whose run continues at another server.
-type errMoved struct {
-	to     *fleet.Server
-	handle Handle
-}
-
-func (e *errMoved) Error() string { return "the run continues at " + string(e.to.ID) }
-
 // logMove logs and counts the outcome of an attempted move of the run.
 func (r *run) logMove(m *move, from, to *fleet.Server, err error) {
 	countMove(err)
 	entry := r.server.Log.WithFields(logrus.Fields{
 		"event": "run_moved", "request": r.req.ID, "server": from.ID, "to": to.ID,
-		"stopped": m.handle.ID != "",
+		"stopped": m.stopped != nil,
 	})
 	if err != nil {
 		entry.WithError(err).WithField("verdict", contract.VerdictOf(err)).Info("the run was not moved")
--- a/internal/serve/move_test.go
+++ b/internal/serve/move_test.go
@@ -30,6 +30,14 @@
 	stopCopyFails bool
 	// finishesIn is the time until the run finishes; 0 means never.
 	finishesIn time.Duration
+	// announced makes the first server's answers to other requests say that it is leaving, and
+	// drainTime is the bound on requests to it.
+	announced bool
+	drainTime time.Duration
+	// loseStopAnswers is the number of answers to Stop that are lost.
+	loseStopAnswers int
+	// next answers the attempts after the first one; nil means with the rest of the stream.
+	next func(*Attempt) (*Answer, error)
 	// versions holds the software versions of the servers, in turn; nil leaves them alike.
 	versions []string
 
@@ -55,6 +63,9 @@
 func (b *movingBackend) Copy(_ context.Context, _ string, _, to *fleet.Server) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return ErrNotRunning
+	}
 	b.copies = append(b.copies, to.ID)
 	if b.accepting != nil && !b.accepting[to.ID] {
 		return errNoCapacity
@@ -69,6 +80,10 @@
 		return Handle{}, ErrNotRunning
 	}
 	b.stopped = true
+	if b.loseStopAnswers > 0 {
+		b.loseStopAnswers--
+		return Handle{}, contract.Unavailable(contract.MayHaveRun, "no answer", nil)
+	}
 	if b.stopCopyFails {
 		return Handle{Server: from.Address, ID: "h"}, errNoCapacity
 	}
@@ -114,6 +129,20 @@
 	return &fleet.Snapshot{Config: p.Config, Servers: map[string][]*fleet.Server{"p": rest}}
 }
 
+// withDraining returns the snapshot after a server's entry says that it is draining.
+func withDraining(p *fleet.Snapshot, id machine.ID) *fleet.Snapshot {
+	var list []*fleet.Server
+	for _, s := range p.Servers["p"] {
+		if s.ID == id {
+			draining := *s
+			draining.Lifecycle = machine.Leaving
+			s = &draining
+		}
+		list = append(list, s)
+	}
+	return &fleet.Snapshot{Config: p.Config, Servers: map[string][]*fleet.Server{"p": list}}
+}
+
 // serveDuringReclaim serves a stream whose server is being reclaimed, and returns what
 // the caller got.
 func serveDuringReclaim(t *testing.T, b *movingBackend) (*fakeCaller, error) {
@@ -135,14 +164,22 @@
 		}
 		b.script = func(n int, _ context.Context, a *Attempt) (*Answer, error) {
 			if n == 0 {
-				snapshot.Store(withoutServer(snapshot.Load(), a.Server.ID))
+				if b.announced {
+					snapshot.Store(withDraining(snapshot.Load(), a.Server.ID))
+					f.heed(&Answer{Leaving: true}, a.Server, "other", time.Now())
+				} else {
+					snapshot.Store(withoutServer(snapshot.Load(), a.Server.ID))
+				}
 				first := ok("")
 				first.Body, first.Length = io.NopCloser(&runningBody{b: b}), -1
 				return first, nil
 			}
+			if b.next != nil {
+				return b.next(a)
+			}
 			return ok("id: 3\ndata: c\n\n"), nil
 		}
-		f.Backend = b
+		f.Backend, f.DrainTime = b, b.drainTime
 		stop := make(chan struct{})
 		go func() {
 			for {
--- a/internal/serve/origin.go
+++ b/internal/serve/origin.go
@@ -91,7 +91,7 @@
 	}
 	if r.isResumable() {
 		if err := r.server.Origins.Confirm(r.ctx, r.req.ID, s); err != nil {
-			r.mayHaveRun = true
+			r.execution.record(contract.MayHaveRun)
 			return contract.Unavailable(contract.MayHaveRun, "the version that begins the stream could not be stored", err)
 		}
 	}
--- a/internal/serve/plain.go
+++ b/internal/serve/plain.go
@@ -21,7 +21,7 @@
 	head, err := io.ReadAll(io.LimitReader(a.Body, bufferedBytes))
 	if err != nil {
 		r.server.observe(server.ID, true)
-		r.mayHaveRun = true
+		r.execution.record(contract.MayHaveRun)
 		return false, contract.Unavailable(contract.MayHaveRun, "the server's answer broke off", err)
 	}
 	failed := a.Status >= http.StatusInternalServerError
@@ -51,7 +51,7 @@
 // recordUnauthenticated records that an answer lacks the server's proof that it is
 // its own, so that the request may have run, and returns the error of the attempt.
 func (r *run) recordUnauthenticated() error {
-	r.mayHaveRun = true
+	r.execution.record(contract.MayHaveRun)
 	return contract.Unavailable(contract.MayHaveRun, "the answer does not bear the server's mark", nil)
 }
 
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -46,9 +46,7 @@
 	// result of the last choice.
 	currentServer machine.ID
 	lastCandidate candidate
-	// mayHaveRun is set when an attempt's outcome is unknown, and ran when a server
-	// is known to have run the request.
-	mayHaveRun bool
+	execution     execution
 	// unreached counts the servers that the request could not be sent to, and handedOver is set
 	// once it was offered to other instances.
 	unreached  int
@@ -58,7 +56,6 @@
 	handOverDraw float64
 	// offers is the number of instances that the request was offered to.
 	offers       int
-	ran          bool
 	startCounted bool
 	// retryGranted is set when the retry budget has already granted the next attempt.
 	retryGranted bool
@@ -97,8 +94,10 @@
 	hasRoom bool
 	// sentAt is when the current attempt was about to be sent; zero before.
 	sentAt time.Time
-	// handle names the KV cache that the next attempt continues with.
+	// handle names the KV cache of the stopped run that the attempt continues; its ID is empty for
+	// a new run. full are the servers that did not take that KV cache.
 	handle Handle
+	full   []machine.ID
 }
 
 // serve answers, refuses or truncates the request.
@@ -141,9 +140,8 @@
 			return r.fail(err)
 		}
 		done, err := r.attempt(choice)
-		for moved := (*errMoved)(nil); errors.As(err, &moved); {
-			choice = r.continuation(moved)
-			done, err = r.attempt(choice)
+		for stopped := (*errStopped)(nil); errors.As(err, &stopped); {
+			choice, done, err = r.continueStopped(stopped)
 		}
 		if done {
 			r.logServed(choice, err)
@@ -154,21 +152,10 @@
 		if !r.mayRetry(err) {
 			return r.fail(err)
 		}
-		r.handle = Handle{}
 		r.exclude = append(r.exclude, choice.server.ID)
 	}
 }
 
-// continuation returns the candidate for the attempt at the server to which the run
-// was moved.
-func (r *run) continuation(moved *errMoved) candidate {
-	r.handle = moved.handle
-	c := candidate{server: moved.to, estimate: forecast.Estimate{Cached: r.req.Prompt.Tokens}}
-	r.lastCandidate = c
-	r.server.Log.WithFields(logrus.Fields{"event": "run_continued", "request": r.req.ID, "server": moved.to.ID, "last_event": r.lastEvent}).Info("the stream continues at the server to which the run was moved")
-	return c
-}
-
 // choose returns the server for the next attempt, or the refusal of the request.
 func (r *run) choose() (candidate, error) {
 	s := r.server
@@ -261,19 +248,13 @@
 
 // mayRetry reports whether the request may be sent to another server.
 func (r *run) mayRetry(err error) bool {
-	if r.isOver() {
+	if r.isOver() || !r.execution.allowsNewRun(r.req.Route) || r.headSent && !r.req.Route.Resumable {
 		return false
 	}
 	var e *contract.Error
 	if errors.As(err, &e) && e.Verdict == contract.NotRun && errors.Is(err, errUnreachable) {
 		return r.tries < unreachableTries
 	}
-	if r.mayHaveRun && !r.req.Route.MayRepeat() {
-		return false
-	}
-	if r.headSent && !r.req.Route.Resumable {
-		return false
-	}
 	if !r.answered && r.isSuspected() {
 		return false
 	}
@@ -307,14 +288,7 @@
 		e = &contract.Error{Kind: contract.KindUnavailable, Message: "the request failed", Err: err}
 	}
 	out := *e
-	switch {
-	case r.ran:
-		out.Verdict = contract.Ran
-	case r.mayHaveRun:
-		out.Verdict = contract.MayHaveRun
-	default:
-		out.Verdict = contract.NotRun
-	}
+	out.Verdict = r.execution.Verdict()
 	if errors.Is(context.Cause(r.ctx), context.DeadlineExceeded) {
 		out.Kind = contract.KindDeadline
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -66,6 +66,9 @@
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
+	// DrainTime is how long a server may get requests after it was announced that it leaves; 0
+	// means without a limit.
+	DrainTime time.Duration
 	// OtherInstances returns the other instances; nil if there are none.
 	OtherInstances func() []handover.Helper
 	// Helpers knows which other instances may serve requests; New creates one if it is nil.
@@ -188,7 +191,7 @@
 		return err
 	}
 	err := r.serve()
-	if !r.ran && !r.mayHaveRun {
+	if r.execution.Verdict() == contract.NotRun {
 		s.Quotas.Refund(req.Workspace, charge, time.Now())
 	}
 	return err
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -70,8 +70,9 @@
 			defer r.server.streams.remove(server.ID, r)
 		}
 		if err != nil {
-			if moved := r.server.streams.remove(server.ID, r).outcome(); moved != nil {
-				return false, moved
+			if stopped := r.server.streams.remove(server.ID, r).outcome(); stopped != nil {
+				r.execution.record(contract.Ran)
+				return false, stopped
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -81,7 +82,7 @@
 		}
 		if err != nil {
 			r.incompleteBytes = events.IncompleteBytes()
-			r.mayHaveRun = true
+			r.execution.record(contract.MayHaveRun)
 			if !r.isOver() {
 				r.server.observe(server.ID, true)
 			}
