process: signals are taken over from the first line of main to the exit

Cause: watchSettings ended with SIGTERM, and its deferred signal.Stop gave SIGHUP its default action back. The same elsewhere: SIGHUP before the watcher ran, a second SIGTERM after NotifyContext's stop, SIGHUP at the other programs, SIGPIPE from a log that nobody reads. Why this works: HandleSignals registers them in the first call of main, and nothing unregisters them. A reload while stopping applies, but for the grace period of the stop that has begun.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +26,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	signals := process.HandleSignals()
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	defer out.Flush()
 	settings, err := platform.LoadSettings()
@@ -36,11 +35,11 @@
 		return process.ExitFailure
 	}
 	log := telemetry.NewLoggerTo(out, name, settings.Name, "info")
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	instance := newInstance(settings, log)
-	go watchSettings(ctx, settings, instance, log)
-	if err := instance.Run(ctx); err != nil {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watchSettings(ctx, signals.Reload, settings, instance, log)
+	if err := instance.Run(signals.Stop); err != nil {
 		log.WithError(err).WithField("event", "failed").Error("instance stopped because of an error")
 		return process.ExitFailure
 	}
--- a/cmd/kumquat-entry/reload.go
+++ b/cmd/kumquat-entry/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -24,12 +22,10 @@
 	}
 }
 
-// watchSettings applies changed settings until ctx is done: on SIGHUP, and when the file
-// has changed. It ignores an invalid file.
-func watchSettings(ctx context.Context, current platform.Settings, instance *entry.Instance, log *logrus.Entry) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// watchSettings applies changed settings until ctx is done: after a signal, and when the file
+// has changed. It ignores an invalid file. While the instance stops, they apply as well, but for
+// the grace period, which counts from the stop signal as it was then.
+func watchSettings(ctx context.Context, signals <-chan os.Signal, current platform.Settings, instance *entry.Instance, log *logrus.Entry) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastError := ""
--- a/cmd/kumquat-entry/reload_test.go
+++ b/cmd/kumquat-entry/reload_test.go
@@ -74,7 +74,7 @@
 	log := logrus.NewEntry(logger)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	go watchSettings(ctx, settings, newInstance(settings, log), log)
+	go watchSettings(ctx, nil, settings, newInstance(settings, log), log)
 	steps := []struct{ change, to, want string }{
 		{"grace_s = 8", "grace_s = 5", "grace_ms=5000"},
 		{`ip = "127.0.0.1"`, "ip = 7", "keeping the previous ones"},
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
@@ -25,9 +23,10 @@
 )
 
 // Main parses the flags, loads the settings into s, calls run with a
-// context that ends on SIGTERM or SIGINT and returns the exit code. With
+// context that ends on SIGTERM or SIGINT and returns the exit code. SIGHUP has no effect. With
 // --check-settings it returns after loading the settings.
 func Main(name, description string, s any, run func(ctx context.Context) error) int {
+	signals := HandleSignals()
 	file, check := parse(name, description)
 	if err := settings.Load(file, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -37,9 +36,7 @@
 		fmt.Println("settings are valid")
 		return ExitOK
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	if err := run(ctx); err != nil {
+	if err := run(signals.Stop); err != nil {
 		logrus.WithField("process", name).WithError(err).Error("process stopped with an error")
 		return ExitFailure
 	}
--- a/test/soak/builds_test.go
+++ b/test/soak/builds_test.go
@@ -85,7 +85,7 @@
 		t.Run(commit, func(t *testing.T) {
 			o := Options{
 				Seed: uint64(100 + n), Duration: time.Second, Instances: 4, Callers: 12, ExtraRoutes: 300,
-				Binary: buildOf(t, commit), MixingBinary: mixingBinary(t, commit),
+				Binary: buildOf(t, commit), CurrentBinary: binary, MixingBinary: mixingBinary(t, commit),
 			}
 			course := []string{binary, o.Binary}
 			if *seedFlag != 0 {
--- a/test/soak/chaos.go
+++ b/test/soak/chaos.go
@@ -116,9 +116,18 @@
 	c.start(i)
 }
 
-// stop stops an instance as planned work does.
+// hangupDelay is how long after SIGTERM a stopping instance gets further signals.
+const hangupDelay = 100 * time.Millisecond
+
+// stop stops an instance as planned work does, while its settings change. Earlier builds end at
+// SIGHUP then, and do not get it.
 func (c *chaos) stop(i *instance) {
 	i.signal(syscall.SIGTERM)
+	if i.build() == c.fleet.currentBinary {
+		time.Sleep(hangupDelay)
+		i.signal(syscall.SIGHUP)
+		i.signal(syscall.SIGTERM)
+	}
 	if !i.awaitExit(graceS*time.Second + exitSlack) {
 		c.recorder.violation("%s did not exit within its grace period", i.name)
 		i.signal(syscall.SIGKILL)
--- a/test/soak/fleet.go
+++ b/test/soak/fleet.go
@@ -55,6 +55,8 @@
 	runs      *standin.Runs
 	instances []*instance
 
+	// currentBinary is the path of the current build.
+	currentBinary string
 	// mixingBinary is the path of a build that lets a stream go on at any version of the servers'
 	// software; empty if there is none.
 	mixingBinary string
@@ -80,7 +82,7 @@
 
 func newFleet(t testing.TB, o Options) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: standin.NewStore(), duties: standin.NewDuties(), runs: &standin.Runs{}, mixingBinary: o.MixingBinary}
+	f := &fleet{t: t, store: standin.NewStore(), duties: standin.NewDuties(), runs: &standin.Runs{}, currentBinary: binaryOf(o), mixingBinary: o.MixingBinary}
 	f.duties.Unfenced = o.Unfenced
 	store, duties := f.serve(f.store), f.serve(f.duties)
 	for range serversPerService {
@@ -95,6 +97,14 @@
 	return f
 }
 
+// binaryOf returns the path of the current build.
+func binaryOf(o Options) string {
+	if o.CurrentBinary != "" {
+		return o.CurrentBinary
+	}
+	return o.Binary
+}
+
 // serve serves a handler until the end of the test and returns its address.
 func (f *fleet) serve(h http.Handler) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -18,6 +18,8 @@
 	Unfenced bool
 	// Binary is the path of kumquat-entry.
 	Binary string
+	// CurrentBinary is the path of the current build, if Binary is an earlier one.
+	CurrentBinary string
 	// ExtraRoutes is the number of routes that the configuration has and no caller uses.
 	ExtraRoutes int
 	// MixingBinary is the path of an earlier build that lets a stream go on at any version of the
