serve, rescue: a stream without a described prompt is moved like others; a panic ends one request's work

Cause: destination and continuation read the tokens of the request's prompt, which is optional, in a goroutine of the move, where a panic ends the process.

--- a/internal/serve/move.go
+++ b/internal/serve/move.go
@@ -14,6 +14,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
+	"kumquatyard/internal/rescue"
 )
 
 // Mover is a Backend that can move the KV cache of a run from one server to another.
@@ -214,7 +215,7 @@
 		return server.Reclaimable && (!ok || state != machine.Serving)
 	}
 	for _, server := range s.streams.markLeaving(isLeaving, time.Now()) {
-		go s.evacuateServer(mover, server)
+		rescue.Go("evacuation", logrus.Fields{"server": server.ID}, s.Log, func() { s.evacuateServer(mover, server) })
 	}
 }
 
@@ -236,7 +237,7 @@
 	time.Sleep(time.Until(goneAt.Add(-moveLead)))
 	for time.Now().Before(goneAt) {
 		for r, m := range s.streams.beginMoves(server.ID) {
-			go r.move(mover, m, server)
+			rescue.Go("move", logrus.Fields{"request": r.req.ID, "server": server.ID}, s.Log, func() { r.move(mover, m, server) })
 		}
 		time.Sleep(moveInterval)
 	}
@@ -346,7 +347,7 @@
 	now := time.Now()
 	p := r.placement(exclude, now)
 	p.predict = func(id machine.ID, _ int) forecast.Estimate {
-		return r.server.Predictor.Predict(r.pool, id, r.req.Prompt, r.req.Prompt.Tokens, now)
+		return r.server.Predictor.Predict(r.pool, id, r.req.Prompt, r.req.PromptTokens(), now)
 	}
 	best, ok := choose(p)
 	return best.server, ok
--- a/internal/serve/move_test.go
+++ b/internal/serve/move_test.go
@@ -38,6 +38,8 @@
 	loseStopAnswers int
 	// next answers the attempts after the first one; nil means with the rest of the stream.
 	next func(*Attempt) (*Answer, error)
+	// request changes the request before it is served; nil leaves it.
+	request func(*Request)
 	// versions holds the software versions of the servers, in turn; nil leaves them alike.
 	versions []string
 
@@ -191,9 +193,13 @@
 				}
 			}
 		}()
-		outcome = f.Serve(t.Context(), &Request{
+		req := &Request{
 			ID: "r", Method: http.MethodPost, Route: &stream, Prompt: &forecast.Prompt{Tokens: 12_000, MaxOutput: 400}, Arrived: time.Now(), Deadline: time.Now().Add(12 * time.Second),
-		}, caller)
+		}
+		if b.request != nil {
+			b.request(req)
+		}
+		outcome = f.Serve(t.Context(), req, caller)
 		close(stop)
 		time.Sleep(3 * time.Second)
 	})
--- a/internal/serve/paths.go
+++ b/internal/serve/paths.go
@@ -14,6 +14,7 @@
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/reach"
+	"kumquatyard/internal/rescue"
 )
 
 const (
@@ -49,7 +50,7 @@
 	if len(paths)+len(pools) == 0 || !s.probing.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	rescue.Go("probe", logrus.Fields{"paths": len(paths), "pools": len(pools)}, s.Log, func() {
 		defer s.probing.Store(false)
 		var wg conc.WaitGroup
 		wg.Go(func() { s.probeEach(checker, serversOf(p, paths)) })
@@ -57,7 +58,7 @@
 			wg.Go(func() { s.judgePool(checker, pool, s.sampleToJudge(p.Servers[pool])) })
 		}
 		wg.Wait()
-	}()
+	})
 }
 
 // availableIDs returns the ids of the servers that are said to serve.
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -23,6 +23,7 @@
 	"kumquatyard/internal/quarantine"
 	"kumquatyard/internal/ratelimit"
 	"kumquatyard/internal/reach"
+	"kumquatyard/internal/rescue"
 	"kumquatyard/internal/retry"
 )
 
@@ -170,13 +171,29 @@
 	defer abort(nil)
 	defer context.AfterFunc(s.lifetime, func() { abort(context.Cause(s.lifetime)) })()
 	r := &run{server: s, ctx: ctx, req: req, caller: caller, handOverDraw: rand.Float64()}
-	err := s.serveCharged(r)
+	err := r.rescued(func() error { return s.serveCharged(r) })
 	if err == nil {
 		s.durations.Record(req.Route.Name, time.Since(req.Arrived))
 	}
 	return err
 }
 
+// rescued calls f. If it panics, the caller gets an error that says whether the request may have run.
+func (r *run) rescued(f func() error) error {
+	err := rescue.Do("request", logrus.Fields{"request": r.req.ID, "route": r.req.Route.Name}, r.server.Log, f)
+	var p *rescue.PanicError
+	if !errors.As(err, &p) {
+		return err
+	}
+	if r.headSent {
+		return ErrTruncated
+	}
+	if !r.sentAt.IsZero() {
+		r.execution.record(contract.MayHaveRun)
+	}
+	return r.finalError(contract.Unavailable(r.execution.Verdict(), "the instance failed to serve the request", err))
+}
+
 // serveCharged serves a request and charges it to its workspace's quota, unless the instance that
 // handed it over has.
 func (s *Server) serveCharged(r *run) error {
--- a/internal/serve/stopped.go
+++ b/internal/serve/stopped.go
@@ -88,7 +88,7 @@
 
 // continuation returns the candidate for the attempt at a server that holds the run's KV cache.
 func (r *run) continuation(server *fleet.Server) candidate {
-	c := candidate{server: server, estimate: forecast.Estimate{Cached: r.req.Prompt.Tokens}}
+	c := candidate{server: server, estimate: forecast.Estimate{Cached: r.req.PromptTokens()}}
 	r.lastCandidate = c
 	r.server.Log.WithFields(logrus.Fields{"event": "run_continued", "request": r.req.ID, "server": server.ID, "source": r.handle.Server, "last_event": r.lastEvent}).Info("the stream continues at a server that holds the run's KV cache")
 	return c
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -84,6 +84,14 @@
 	return r.Deadline
 }
 
+// PromptTokens returns the length of the prompt, 0 if the request describes none.
+func (r *Request) PromptTokens() int {
+	if r.Prompt == nil {
+		return 0
+	}
+	return r.Prompt.Tokens
+}
+
 // WorkspaceName returns the workspace's name, empty on public routes.
 func (r *Request) WorkspaceName() string {
 	if r.Workspace == nil {
