usage: the era of the answer decides whether a window may have been reported

Cause: maybeReported judged an answer without the report by the era that the follower knew, which learns of a restore later than the answer. Related: a report decided on in one era and written in the next was read as any other. Why this works: what was absent in an era is known never to have been reported only if the window could not have been reported before that era; a stored report names the era of its decision. The fake store now answers with its era, also for keys that do not exist, as the platform's does.

--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -97,6 +97,7 @@
 		return err
 	}
 	r.loaded = true
+	r.Stored.noteEra(item.Revision.Era, r.Now())
 	if !item.Exists() {
 		return nil
 	}
@@ -105,7 +106,7 @@
 		r.Log.WithError(err).WithField("event", "usage_checkpoint").Error("usage checkpoint cannot be decoded; counts of instances that have stopped are lost")
 		return nil
 	}
-	r.checkpointEra, r.checkpointEraSince = m.GetEra(), time.UnixMilli(m.GetEraSinceUnixMs())
+	r.Stored.noteEra(m.GetEra(), time.UnixMilli(m.GetEraSinceUnixMs()))
 	r.Counter.Restore(r.Incarnation, m.GetInstances())
 	return nil
 }
@@ -126,7 +127,8 @@
 		return
 	}
 	m := r.Counter.checkpoint(r.Incarnation, r.next)
-	if era, since := r.storeEra(); era > 0 {
+	r.latestEra()
+	if era, since := r.Stored.latestEra(); era > 0 {
 		m.Era, m.EraSinceUnixMs = era, since.UnixMilli()
 	}
 	value, err := packed.Marshal(m)
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -70,10 +70,6 @@
 	next Window
 	// takenAt is when this process took the duty.
 	takenAt time.Time
-	// checkpointEra is the store's era of the checkpoint that was read, and
-	// checkpointEraSince when a holder first read the store in it.
-	checkpointEra      uint64
-	checkpointEraSince time.Time
 	// loaded is set once the checkpoint of the previous holder was read.
 	loaded bool
 	// saved is the last checkpoint that was written, encoded.
@@ -179,23 +175,23 @@
 	if err != nil {
 		return nil, err
 	}
+	era := item.Revision.Era
+	r.Stored.noteEra(era, r.Now())
+	counts, known := r.Stored.get(w)
 	if item.Exists() {
-		counts, err := decodeReport(item.Value)
-		if err == nil {
-			r.Stored.record(w, counts)
-		}
-		return counts, err
+		return r.readCounts(w, item, counts, known)
 	}
-	counts, known := r.Stored.get(w)
+	fields := logrus.Fields{"window": w, "era": era, "latest_era": r.latestEra()}
 	switch {
 	case known:
-		r.Log.WithFields(logrus.Fields{"event": "usage_restored", "window": w}).Warn("the store has lost the stored report of the window; storing it again with the same counts")
-	case r.maybeReported(w):
+		r.Log.WithFields(fields).WithField("event", "usage_restored").Warn("the store has lost the stored report of the window; storing it again with the same counts")
+	case r.maybeReported(w, era):
 		return nil, errMaybeReported
 	default:
 		counts = r.Counter.Total(w)
+		r.Log.WithFields(fields).WithField("event", "usage_stored").Debug("the window was not reported in the store's era, nor before it")
 	}
-	value, err := proto.Marshal(&pb.UsageReport{Window: int64(w), Counts: counts})
+	value, err := proto.Marshal(&pb.UsageReport{Window: int64(w), Counts: counts, Era: era})
 	if err != nil {
 		return nil, fmt.Errorf("encode usage report of window %d: %w", w, err)
 	}
@@ -212,25 +208,46 @@
 // restoreMargin is by how much the corrected clocks of two instances may differ.
 const restoreMargin = time.Second
 
-// maybeReported reports whether a window may have been reported before the store was
-// restored: reports are stored collectionTime after the end of their window at the
-// earliest.
-func (r *Reporter) maybeReported(w Window) bool {
-	era, since := r.storeEra()
-	return era > 0 && r.Counter.WindowEnd(w).Add(collectionTime).Before(since.Add(restoreMargin))
+// readCounts returns the counts of a window for which the store has a report. known tells whether
+// this process knows the counts of one.
+//
+// A report that was decided on in an earlier era counts only if it is known: it may have been
+// written late, into a store that had lost another report of the window.
+func (r *Reporter) readCounts(w Window, item store.Item, counts Counts, known bool) (Counts, error) {
+	stored, decidedIn, err := decodeReport(item.Value)
+	switch {
+	case err != nil:
+		return nil, err
+	case known:
+		return counts, nil
+	case decidedIn != 0 && decidedIn != item.Revision.Era:
+		return nil, errMaybeReported
+	}
+	r.Stored.record(w, stored)
+	return stored, nil
 }
 
-// storeEra returns the store's era and since when the store is known to be in it, as far
-// as this process or the holder that wrote the checkpoint knows.
-func (r *Reporter) storeEra() (era uint64, since time.Time) {
-	if r.StoreEra == nil {
-		return 0, time.Time{}
+// maybeReported reports whether a window of which the store has no report in an era may have been
+// reported in an earlier one: reports are stored collectionTime after the end of their window at
+// the earliest. The era is that of the answer without the report, which other parts of this
+// process may not have seen yet.
+func (r *Reporter) maybeReported(w Window, era uint64) bool {
+	if era == 0 {
+		return false
 	}
-	era, since = r.StoreEra()
-	if r.checkpointEra == era && r.checkpointEraSince.Before(since) {
-		since = r.checkpointEraSince
+	r.latestEra()
+	since, ok := r.Stored.eraSince(era)
+	return !ok || r.Counter.WindowEnd(w).Add(collectionTime).Before(since.Add(restoreMargin))
+}
+
+// latestEra returns the latest era of the store that this process knows, and notes what StoreEra
+// says.
+func (r *Reporter) latestEra() uint64 {
+	if r.StoreEra != nil {
+		r.Stored.noteEra(r.StoreEra())
 	}
-	return era, since
+	era, _ := r.Stored.latestEra()
+	return era
 }
 
 // sum returns the number of requests of all workspaces.
@@ -242,16 +259,18 @@
 	return total
 }
 
-func decodeReport(value []byte) (Counts, error) {
+// decodeReport returns the counts of a stored report, and the store's era in which it was decided
+// on; 0 if an earlier build wrote it.
+func decodeReport(value []byte) (counts Counts, era uint64, err error) {
 	var report pb.UsageReport
 	if err := proto.Unmarshal(value, &report); err != nil {
-		return nil, fmt.Errorf("decode stored usage report: %w", err)
+		return nil, 0, fmt.Errorf("decode stored usage report: %w", err)
 	}
-	counts := Counts(report.GetCounts())
+	counts = report.GetCounts()
 	if counts == nil {
 		counts = make(Counts)
 	}
-	return counts, nil
+	return counts, report.GetEra(), nil
 }
 
 // prune removes the report that is retainedReports windows older than w.
--- a/internal/usage/restore_test.go
+++ b/internal/usage/restore_test.go
@@ -86,8 +86,10 @@
 func TestReportingContinuesAfterARestore(t *testing.T) {
 	f := newFixture()
 	f.store.era = 1
+	startedAt := f.now
 	empty := f.save()
 	first, second := f.reporter(New(length)), f.reporter(New(length))
+	first.StoreEra = func() (uint64, time.Time) { return 1, startedAt }
 	w := first.Counter.WindowAt(f.now)
 	first.Counter.RecordStart("a", f.now)
 	f.now = first.Counter.WindowEnd(w).Add(collectionTime)
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -68,6 +68,10 @@
 	era         uint64
 	loseAnswers int
 	down        bool
+	// beforeSwap is called before a key is written; nil does nothing. If it returns true, the
+	// call has no answer, and late holds what carries it out.
+	beforeSwap func() (isLate bool)
+	late       []func()
 }
 
 var errNoAnswer = &contract.Error{Kind: contract.KindUnavailable, Verdict: contract.MayHaveRun, Message: "no answer"}
@@ -76,13 +80,24 @@
 	if s.down {
 		return store.Item{}, errNoAnswer
 	}
-	return s.items[key], nil
+	item := s.items[key]
+	item.Key, item.Revision.Era = key, s.era
+	return item, nil
 }
 
 func (s *fakeStore) CompareAndSwap(_ context.Context, p store.Put) (store.Revision, error) {
 	if s.down {
 		return store.Revision{}, errNoAnswer
 	}
+	if s.beforeSwap != nil && s.beforeSwap() {
+		s.late = append(s.late, func() { _, _ = s.swap(p) })
+		return store.Revision{}, errNoAnswer
+	}
+	return s.swap(p)
+}
+
+// swap carries a CompareAndSwap out.
+func (s *fakeStore) swap(p store.Put) (store.Revision, error) {
 	if s.items[p.Key].Revision.Number != p.Expected.Number {
 		return store.Revision{}, store.ErrConflict
 	}
@@ -92,6 +107,9 @@
 		s.loseAnswers--
 		return store.Revision{}, errNoAnswer
 	}
+	if p.Expected.Era != 0 && p.Expected.Era != s.era {
+		return store.Revision{}, store.ErrRestored
+	}
 	return store.Revision{Era: s.era, Number: s.revision}, nil
 }
 
