usage: messages have copies of the counts

Cause: instanceUsage put the live maps of the counts into messages that are encoded after the lock is released (checkpoint, counts for a new holder). Why this works: the message has clones, taken under the lock.

--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"kumquatyard/internal/packed"
@@ -36,17 +37,20 @@
 	return m
 }
 
+// instanceUsage returns a copy of the counts in window from and later ones: the message is encoded
+// after the lock of the counts was released.
 func instanceUsage(incarnation string, windows map[Window]Counts, from Window) *pb.InstanceUsage {
 	u := &pb.InstanceUsage{Incarnation: incarnation}
-	for _, w := range EncodeWindows(windows) {
-		if Window(w.GetWindow()) >= from && len(w.GetCounts()) > 0 {
-			u.Windows = append(u.Windows, w)
+	for w, counts := range windows {
+		if w >= from && len(counts) > 0 {
+			u.Windows = append(u.Windows, &pb.UsageWindow{Window: int64(w), Counts: maps.Clone(counts)})
 		}
 	}
 	return u
 }
 
-// EncodeWindows converts counts by window to their protobuf form.
+// EncodeWindows converts counts by window to their protobuf form, which shares them: they must not
+// change any more.
 func EncodeWindows(windows map[Window]Counts) []*pb.UsageWindow {
 	list := make([]*pb.UsageWindow, 0, len(windows))
 	for w, counts := range windows {
