httpcall, membudget, platform: answers and bodies share bounds on their memory

Cause: bytes whose number somebody else decides were bounded one by one at most, by far more than the call can expect, and framing was not counted. Why this works: httpcall counts all bytes of an answer, ends one that is longer than its call's longest, and charges what lies above 64 KiB to a budget of all the store's answers; bodies of requests share another one, and what finds none is refused as not run. The collector knows the machine's memory.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -35,6 +35,7 @@
 		return process.ExitFailure
 	}
 	log := telemetry.NewLoggerTo(out, name, settings.Name, "info")
+	limitMemory(settings.MemoryBytes, log)
 	instance := newInstance(settings, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -47,8 +48,9 @@
 }
 
 func newInstance(s platform.Settings, log *logrus.Entry) *entry.Instance {
+	answers, bodies := memoryBudgets(s.MemoryBytes)
 	connections := upstream.NewPool(upstream.DefaultSettings)
-	client := platform.NewStore(s.StoreAddress, storeTimeout)
+	client := platform.NewStore(s.StoreAddress, storeTimeout, answers)
 	return entry.New(entry.Options{
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
@@ -58,7 +60,7 @@
 		Store:   client,
 		Backend: platform.NewBackend(connections, log),
 		NewFrontend: func(core *serve.Server, snapshot func() *fleet.Snapshot) entry.Frontend {
-			return platform.NewIngress(core, snapshot)
+			return platform.NewIngress(core, snapshot, bodies)
 		},
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer, ServerID: platform.ServerID,
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -7,16 +7,19 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/membudget"
 )
 
 const (
-	maxConns         = 1024
-	maxResponseBytes = 16 << 20
+	maxConns = 1024
+	// MaxAnswerBytes bounds the body of an answer, unless Limit was called.
+	MaxAnswerBytes = 16 << 20
 	// maxIdleConnTime is below the idle timeout of common servers, so that a call is
 	// seldom sent on a connection that the server is closing.
 	maxIdleConnTime = 10 * time.Second
@@ -63,6 +66,16 @@
 	host    *fasthttp.HostClient
 	address string
 	timeout time.Duration
+	// budget bounds the answers that are being read, together with those of other clients.
+	budget *membudget.Budget
+	// metered holds the open connections by their local addresses.
+	metered sync.Map // string → *meteredConn
+}
+
+// Limit sets the greatest length of an answer's body, in bytes, and what the answers that are being
+// read may take together; nil means no limit. It must be called before the first call.
+func (h *Client) Limit(maxAnswer int, budget *membudget.Budget) {
+	h.host.MaxResponseBodySize, h.budget = maxAnswer, budget
 }
 
 // New returns a client of the service at address, an IP address and port. timeout
@@ -76,7 +89,7 @@
 		MaxIdleConnDuration:           maxIdleConnTime,
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:           maxResponseBytes,
+		MaxResponseBodySize:           MaxAnswerBytes,
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
 		DisableHeaderNamesNormalizing: false,
@@ -90,13 +103,13 @@
 		return nil, &dialError{err: err}
 	}
 	if !h.ResetOnClose {
-		return conn, nil
+		return h.meter(conn), nil
 	}
 	if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
 		_ = conn.Close()
 		return nil, &dialError{err: err}
 	}
-	return conn, nil
+	return h.meter(conn), nil
 }
 
 // Do sends c and waits for the answer until ctx is done or the timeout is over. Errors
@@ -163,13 +176,14 @@
 		req.SetBodyRaw(c.Body)
 	}
 	req.SetTimeout(limit)
+	defer func() { h.settle(resp.LocalAddr()) }()
 	if err := h.host.Do(req, resp); err != nil {
 		h.closeIdleAfterTimeout(err)
 		return Reply{}, classify(c, err)
 	}
 	r := Reply{
 		Status: resp.StatusCode(),
-		Body:   append([]byte(nil), resp.Body()...),
+		Body:   takeBody(resp),
 		Header: string(resp.Header.Peek(h.AnswerHeader)),
 	}
 	if r.Status == fasthttp.StatusTooManyRequests {
@@ -178,6 +192,18 @@
 	return r, nil
 }
 
+// largeBody is the length from which on a body is not copied. Small ones leave their buffer to
+// other calls.
+const largeBody = 64 << 10
+
+// takeBody returns the body of an answer, which nobody else uses.
+func takeBody(resp *fasthttp.Response) []byte {
+	if len(resp.Body()) < largeBody {
+		return append([]byte(nil), resp.Body()...)
+	}
+	return resp.SwapBody(nil)
+}
+
 // classify returns the error of a failed exchange, with its verdict.
 func classify(c Call, err error) error {
 	var d *dialError
--- /dev/null
+++ b/internal/httpcall/metered.go
@@ -0,0 +1,89 @@
+package httpcall
+
+import (
+	"errors"
+	"net"
+	"sync"
+
+	"kumquatyard/internal/membudget"
+)
+
+// headBytes is what an answer may have beside its body: its head, and the framing of chunks.
+const headBytes = 64 << 10
+
+var (
+	errAnswerTooLong  = errors.New("the answer is longer than any that the call may get")
+	errAnswersTooMany = errors.New("the answers that are being read take too much memory together")
+)
+
+// meteredConn counts the bytes of the answer that is being read, whatever they are: a head, a body or
+// the framing of chunks. It ends an answer that is too long, by itself or together with others.
+type meteredConn struct {
+	net.Conn
+	client *Client
+
+	mu     sync.Mutex
+	read   int64
+	charge membudget.Charge
+}
+
+// meter returns conn with a meter, and keeps it until it is closed.
+func (h *Client) meter(conn net.Conn) net.Conn {
+	c := &meteredConn{Conn: conn, client: h, charge: h.budget.Charge()}
+	h.metered.Store(conn.LocalAddr().String(), c)
+	return c
+}
+
+// Write begins a call.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	c.settle()
+	return c.Conn.Write(p)
+}
+
+// Read reads a part of an answer.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == nil {
+		err = c.add(int64(n))
+	}
+	return n, err
+}
+
+func (c *meteredConn) add(n int64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += n
+	switch {
+	case c.read > int64(c.client.host.MaxResponseBodySize)+headBytes:
+		return errAnswerTooLong
+	case !c.charge.Grow(c.read):
+		return errAnswersTooMany
+	}
+	return nil
+}
+
+// settle returns what the answer was charged with.
+func (c *meteredConn) settle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read = 0
+	c.charge.Release()
+}
+
+// Close closes the connection.
+func (c *meteredConn) Close() error {
+	c.settle()
+	c.client.metered.Delete(c.Conn.LocalAddr().String())
+	return c.Conn.Close()
+}
+
+// settle ends the answer that was read from the connection with a local address. A connection that
+// has closed is settled already.
+func (h *Client) settle(local net.Addr) {
+	if local == nil {
+		return
+	}
+	if c, ok := h.metered.Load(local.String()); ok {
+		c.(*meteredConn).settle()
+	}
+}
--- a/internal/usage/concurrent_test.go
+++ b/internal/usage/concurrent_test.go
@@ -42,6 +42,8 @@
 	}
 	wg.Go(func() { encode(func() proto.Message { return c.checkpoint("self/1", w) }) })
 	wg.Go(func() { encode(func() proto.Message { return &pb.UsageCounts{Others: c.OtherCounts()} }) })
-	wg.Go(func() { encode(func() proto.Message { return &pb.UsageCounts{Windows: EncodeWindows(c.LocalCounts())} }) })
+	wg.Go(func() {
+		encode(func() proto.Message { return &pb.UsageCounts{Windows: EncodeWindows(c.LocalCounts())} })
+	})
 	wg.Wait()
 }
