serve: a request that could not be sent keeps to its route's servers too

After a run was stopped and could not be continued, a resumable stream could go to one more server than its route allows. Only then: before, the number was checked with the attempt before.

--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -46,7 +46,8 @@
 	// result of the last choice.
 	currentServer machine.ID
 	lastCandidate candidate
-	execution     execution
+	// execution is what all attempts together have done.
+	execution execution
 	// unreached counts the servers that the request could not be sent to, and handedOver is set
 	// once it was offered to other instances.
 	unreached  int
@@ -253,7 +254,7 @@
 	}
 	var e *contract.Error
 	if errors.As(err, &e) && e.Verdict == contract.NotRun && errors.Is(err, errUnreachable) {
-		return r.tries < unreachableTries
+		return r.tries < unreachableTries && r.attempts < r.req.MaxAttempts()
 	}
 	if !r.answered && r.isSuspected() {
 		return false
