usage: the follower's era is noted once per report, by a function that says so

latestEra was called for its side effect in three places, twice for one report, and its value was used in one. Behaviour is the same; the tests of internal/usage pass, with the race detector.

--- a/internal/usage/checkpoint.go
+++ b/internal/usage/checkpoint.go
@@ -131,7 +131,7 @@
 		return
 	}
 	m := r.Counter.checkpoint(r.Incarnation, r.next)
-	r.latestEra()
+	r.noteStoreEra()
 	if era, since := r.Stored.latestEra(); era > 0 {
 		m.Era, m.EraSinceUnixMs = era, since.UnixMilli()
 	}
--- a/internal/usage/report.go
+++ b/internal/usage/report.go
@@ -177,11 +177,13 @@
 	}
 	era := item.Revision.Era
 	r.Stored.noteEra(era, r.Now())
+	r.noteStoreEra()
 	counts, known := r.Stored.get(w)
 	if item.Exists() {
 		return r.readCounts(w, item, counts, known)
 	}
-	fields := logrus.Fields{"window": w, "era": era, "latest_era": r.latestEra()}
+	latest, _ := r.Stored.latestEra()
+	fields := logrus.Fields{"window": w, "era": era, "latest_era": latest}
 	switch {
 	case known:
 		r.Log.WithFields(fields).WithField("event", "usage_restored").Warn("the store has lost the stored report of the window; storing it again with the same counts")
@@ -235,19 +237,15 @@
 	if era == 0 {
 		return false
 	}
-	r.latestEra()
 	since, ok := r.Stored.eraSince(era)
 	return !ok || r.Counter.WindowEnd(w).Add(collectionTime).Before(since.Add(restoreMargin))
 }
 
-// latestEra returns the latest era of the store that this process knows, and notes what StoreEra
-// says.
-func (r *Reporter) latestEra() uint64 {
+// noteStoreEra notes the era that StoreEra tells.
+func (r *Reporter) noteStoreEra() {
 	if r.StoreEra != nil {
 		r.Stored.noteEra(r.StoreEra())
 	}
-	era, _ := r.Stored.latestEra()
-	return era
 }
 
 // sum returns the number of requests of all workspaces.
