autoscale: servers that cover the loss of a zone stay until their replacements serve

Change: keepCover, the last step of a plan. While the running servers that stay would not cover the need after the loss of any zone's reclaimable servers, and all running ones do, on-demand servers stay, and fewer reclaimable ones are ordered where the zone's limit requires it.

Test: TestSwapWithinAZonesLimitKeepsTheCover; without the step 3 servers run where the load needs 15. TestOnDemandServersAreReleasedOnceTheCoverIsThere: the swap still ends.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -191,6 +191,7 @@
 	s.keepWhileRefused(in, &counts, target)
 	s.applyZoneLimits(in, &counts, target)
 	s.keepUntilReplaced(in, &counts, target, need)
+	s.keepCover(in, &counts, target, need)
 	orders := s.orders(in, &counts, target)
 	if discovering {
 		return slices.DeleteFunc(orders, func(o Order) bool { return !o.Reclaimable || o.Servers <= counts.present[o.group()] })
