autoscale: until the load is known, as many servers run as before

Change: the need is the number of discovered servers until the load is known.

Tests: TestFirstLoadIsServedByWhatWasThere is red with 0.55 (too few servers for 4 s). TestDiscoveredServersAreReplacedAsTheyRegister named the numbers of the former share; it names those of the new one as exactly.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -261,8 +261,8 @@
 		need = max(need, float64(l.Running)/max(min(s.settings.Occupancy*slots, slots-s.settings.SlotReserve*math.Sqrt(slots)), 1))
 	}
 	if !l.Known {
-		// The load is unknown, so most of the discovered servers are kept.
-		need = max(need, float64(s.discovered)*unknownLoadShare)
+		// The number of servers that ran before is all that is known of the load.
+		need = max(need, float64(s.discovered))
 	}
 	s.needs = append(s.needs, pastNeed{in.Now, need})
 	s.needs = slices.DeleteFunc(s.needs, func(p pastNeed) bool { return in.Now.Sub(p.at) > s.settings.ScaleDownDelay })
@@ -277,10 +277,6 @@
 	return max(s.settings.Utilization-s.settings.StalenessPenalty*staleness.Seconds(), s.settings.MinUtilization)
 }
 
-// unknownLoadShare is the fraction of the discovered servers that is kept until the
-// load is known.
-const unknownLoadShare = 0.55
-
 // cheapestMix returns the cheapest mix of servers that covers the need, also after the
 // loss of any one zone's reclaimable servers. limit bounds the reclaimable servers of
 // a zone; Scaling.Max bounds both markets of a zone together.
