--- a/cmd/kumquat-entry/duties.go
+++ b/cmd/kumquat-entry/duties.go
@@ -10,6 +10,7 @@
 	"kumquatyard/internal/autoscale"
 	"kumquatyard/internal/duty"
 	"kumquatyard/internal/entry"
+	"kumquatyard/internal/rollout"
 	"kumquatyard/internal/usage"
 	"kumquatyard/platform"
 )
@@ -59,6 +60,9 @@
 	if r.settings.OrdersServers {
 		jobs = append(jobs, r.scaler(api).Run)
 	}
+	if !r.settings.Rollouts.IsZero() {
+		jobs = append(jobs, r.rollouts().Run)
+	}
 	return runAll(ctx, lease, jobs)
 }
 
@@ -71,7 +75,14 @@
 
 func (r *dutyRunner) scaler(api leasedDuties) *autoscale.Runner {
 	return &autoscale.Runner{
-		Provisioner: api, Snapshot: r.state.Snapshot, Predictor: r.state.Predictor, Demand: r.state.Demand, MaxStaleness: r.state.MaxStaleness, Log: r.log,
+		Provisioner: api, Snapshot: r.state.Snapshot, Predictor: r.state.Predictor, Demand: r.state.Demand, MaxStaleness: r.state.MaxStaleness,
+		OnHold: r.state.Rollouts.InForce, Log: r.log,
+	}
+}
+
+func (r *dutyRunner) rollouts() *rollout.Runner {
+	return &rollout.Runner{
+		Tracker: r.state.Rollouts, Store: r.store, Key: platform.RolloutStatusKey, Encode: platform.EncodeRolloutStatus, Decode: platform.DecodeRolloutStatus, Log: r.log,
 	}
 }
 
--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -55,7 +55,7 @@
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
 			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps, StoreWritesPerSecond: s.StoreWritesPerSecond,
-			DrainTime: s.DrainTime, RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Reloadable: reloadableSettings(s),
+			DrainTime: s.DrainTime, RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Rollouts: s.Rollouts, Reloadable: reloadableSettings(s),
 		},
 		Store:   client,
 		Backend: platform.NewBackend(connections, log),
@@ -64,6 +64,8 @@
 		},
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer, ServerID: platform.ServerID,
+		RolloutOrdersPrefix: platform.RolloutOrdersPrefix, RolloutStatusPrefix: platform.RolloutStatusPrefix,
+		DecodeRolloutOrder: platform.DecodeRolloutOrder, DecodeRolloutStatus: platform.DecodeRolloutStatus,
 		RunDuties: func(ctx context.Context, d entry.DutyContext) { runDuties(ctx, s, client, d, log) },
 		Sweep:     connections.Sweep,
 		Log:       log,
--- a/internal/autoscale/run.go
+++ b/internal/autoscale/run.go
@@ -31,7 +31,10 @@
 	Demand      *demand.Meter
 	// MaxStaleness bounds the age of what instances know of each other's requests.
 	MaxStaleness func() time.Duration
-	Log          *logrus.Entry
+	// OnHold reports whether the number of a pool's servers says nothing about its spare capacity, so
+	// that no servers are ordered or released; nil means never.
+	OnHold func(pool string, now time.Time) bool
+	Log    *logrus.Entry
 
 	scalers map[string]*Scaler
 }
@@ -60,7 +63,7 @@
 			continue
 		}
 		for _, pool := range snapshot.Config.Pools {
-			if pool.Scaling == nil || len(snapshot.Servers[pool.Name]) == 0 {
+			if pool.Scaling == nil || len(snapshot.Servers[pool.Name]) == 0 || r.OnHold != nil && r.OnHold(pool.Name, time.Now()) {
 				continue
 			}
 			if err := r.scale(ctx, pool, fencingToken, check); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"kumquatyard/internal/quota"
 	"kumquatyard/internal/ratelimit"
 	"kumquatyard/internal/retry"
+	"kumquatyard/internal/rollout"
 	"kumquatyard/internal/serve"
 	"kumquatyard/internal/store"
 	"kumquatyard/internal/telemetry"
@@ -57,6 +58,8 @@
 	brittle *brittle.Tracker
 	// origins knows which versions of the servers' software began streams.
 	origins *origin.Tracker
+	// rollouts says which versions of the servers' software requests may go to.
+	rollouts *rollout.Tracker
 	// helpers knows which other instances may serve requests of this one.
 	helpers  *handover.Directory
 	core     *serve.Server
@@ -103,6 +106,7 @@
 		quarantine:  quarantine.New(o.Log),
 		limits:      ratelimit.New(o.Settings.Name, o.Log),
 		brittle:     brittle.New(o.Settings.Name, o.Log),
+		rollouts:    rollout.New(rollout.Options{Bounds: o.Settings.Rollouts, Log: o.Log}),
 		helpers:     handover.NewDirectory(o.Settings.Zone),
 		feed:        make(chan follow.Batch, feedBuffer),
 		startedAt:   now,
@@ -117,7 +121,7 @@
 	})
 	i.core = serve.New(serve.Options{
 		Zone: o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
-		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
+		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, Rollouts: i.rollouts, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
 	i.exchange = peers.New(peers.Options{
@@ -213,7 +217,7 @@
 
 func (i *Instance) dutyContext(stopping <-chan struct{}) DutyContext {
 	return DutyContext{
-		Incarnation: incarnationOf(i.self()), Usage: i.counter, Predictor: i.predictor, Snapshot: i.snapshots.Load, Now: i.now, Demand: i.demand,
+		Incarnation: incarnationOf(i.self()), Usage: i.counter, Predictor: i.predictor, Snapshot: i.snapshots.Load, Now: i.now, Demand: i.demand, Rollouts: i.rollouts,
 		AllReported: i.exchange.AllReported, MaxStaleness: i.exchange.MaxAge, Candidate: i.mayCompeteForDuties, SetHolding: i.holding.Store,
 		StoreEra: i.storeEra, Stopping: stopping,
 	}
@@ -234,7 +238,7 @@
 		},
 		Role: i.storeRole, Feed: i.feed, Publish: i.publishChanges,
 		ReplayFrom: func(era uint64) store.Revision { return i.exchange.ReplayFrom(era, time.Now()) },
-		Subscriptions: []follow.Subscription{
+		Subscriptions: append([]follow.Subscription{
 			// First, so that the quotas are divided before requests are served.
 			{Prefix: membersPrefix, Handler: &memberHandler{changed: i.setMembers, log: i.Log}},
 			{Prefix: i.ConfigKey, Handler: &configHandler{key: i.ConfigKey, decode: i.DecodeConfig, snapshots: i.snapshots, log: i.Log}},
@@ -242,7 +246,19 @@
 			// After the servers, so that a version that the list lacks is not taken for one that
 			// it has lost.
 			{Prefix: origin.VersionsPrefix, Handler: i.origins},
-		},
+		}, i.rolloutSubscriptions()...),
+	}
+}
+
+// rolloutSubscriptions returns the subscriptions for roll-outs. They are listed after the servers, so that
+// no server of a new version is known before its order.
+func (i *Instance) rolloutSubscriptions() []follow.Subscription {
+	if i.Settings.Rollouts.IsZero() || i.RolloutOrdersPrefix == "" {
+		return nil
+	}
+	return []follow.Subscription{
+		{Prefix: i.RolloutOrdersPrefix, Handler: i.rollouts.Orders(i.RolloutOrdersPrefix, i.DecodeRolloutOrder)},
+		{Prefix: i.RolloutStatusPrefix, Handler: i.rollouts.Statuses(i.RolloutStatusPrefix, i.DecodeRolloutStatus)},
 	}
 }
 
@@ -303,7 +319,8 @@
 		case now := <-ticker.C:
 			i.snapshots.expire(now)
 			i.core.Maintain(now)
-			if i.snapshots.Load() != nil {
+			if p := i.snapshots.Load(); p != nil {
+				i.rollouts.Maintain(p, i.count(), now)
 				i.setInstances(i.exchange.InstanceCount(now))
 			}
 			if i.Sweep != nil {
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -12,6 +12,7 @@
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/machine"
 	"kumquatyard/internal/quota"
+	"kumquatyard/internal/rollout"
 	"kumquatyard/internal/serve"
 	"kumquatyard/internal/store"
 	"kumquatyard/internal/usage"
@@ -36,7 +37,9 @@
 	DrainTime   time.Duration
 	RetryWindow time.Duration
 	UsageWindow time.Duration
-	Reloadable  ReloadableSettings
+	// Rollouts are the bounds for roll-outs; zero if the operators ask for none.
+	Rollouts   rollout.Bounds
+	Reloadable ReloadableSettings
 }
 
 // ReloadableSettings holds the settings that can change while an instance runs.
@@ -76,6 +79,10 @@
 	DecodeConfig  func([]byte) (*fleet.Config, error)
 	DecodeServer  func(store.Item, time.Time) (fleet.Server, error)
 	ServerID      func(key string) machine.ID
+	// The orders and the statuses of roll-outs are below two prefixes of the store.
+	RolloutOrdersPrefix, RolloutStatusPrefix string
+	DecodeRolloutOrder                       func(store.Item) (rollout.Order, error)
+	DecodeRolloutStatus                      func(store.Item) (rollout.Status, error)
 
 	// RunDuties competes for the duties and does them while they are held, until ctx
 	// is done or they were handed over. Nil means that the instance takes no duties.
@@ -92,6 +99,7 @@
 	Snapshot  func() *fleet.Snapshot
 	Now       func() time.Time
 	Demand    *demand.Meter
+	Rollouts  *rollout.Tracker
 	// Incarnation identifies this process in the usage counts.
 	Incarnation string
 	// AllReported reports whether the usage counts of every other instance arrived
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -38,6 +38,7 @@
 		UnixMs: i.clock.Uncorrected(now).UnixMilli(), Stopping: i.stopping.Load(),
 		HoldsDuties: i.holding.Load(), StoreAway: i.follower.StoreUnreachable(),
 		LeavingServers: i.leaving.recent(now), Work: rollup.EncodeWork(i.predictor.LocalWork(now)), Workspaces: i.ledger.Uses(),
+		Rollouts: i.rollouts.Messages(now),
 	}
 	if i.follower.Disconnected() {
 		known := i.follower.Revision()
@@ -84,6 +85,7 @@
 		i.ledger.RecordReport(others.Levels, others.Own.GetWorkspaces(), others.Instances, others.At)
 	}
 	i.applyLeaving(sum.GetLeavingServers())
+	i.rollouts.Apply(sum.GetRollouts(), now)
 	i.applyUnreached(sum.GetUnreached(), now)
 }
 
--- a/internal/rollup/zones.go
+++ b/internal/rollup/zones.go
@@ -87,8 +87,9 @@
 func (a *Aggregator) FleetSum(own *pb.ZoneSum, stopping bool, now time.Time) *pb.FleetSum {
 	totals := newTotals()
 	totals.add(own.GetWork(), own.GetDemands())
-	unreached := make(unreachedPools)
+	unreached, rolled := make(unreachedPools), make(rollouts)
 	unreached.addAll(own.GetUnreached())
+	rolled.addAll(own.GetRollouts(), 0)
 	sum := &pb.FleetSum{
 		From: a.self, Sequence: own.GetSequence(), Instances: own.GetMembers(), Stopping: stopping,
 		LeavingServers: own.GetLeavingServers(), Holder: own.GetHolder(), Config: own.GetConfig(),
@@ -109,6 +110,7 @@
 		passed := now.Sub(s.receivedAt)
 		totals.add(s.sum.GetWork(), s.sum.GetDemands())
 		unreached.addAll(s.sum.GetUnreached())
+		rolled.addAll(s.sum.GetRollouts(), passed.Milliseconds())
 		sum.Instances += s.sum.GetMembers()
 		ages += (s.sum.GetAgeMs() + passed.Milliseconds()) * int64(s.sum.GetMembers())
 		clocks = append(clocks, s.sum.GetUnixMs()+passed.Milliseconds())
@@ -116,7 +118,7 @@
 		sum.Holder = laterHolder(sum.Holder, s.sum.GetHolder(), passed)
 		sum.Config = newerConfig(sum.Config, s.sum.GetConfig())
 	}
-	sum.Work, sum.Demands, sum.Unreached = EncodeWork(totals.Work), EncodeDemand(totals.Demand), unreached.encode()
+	sum.Work, sum.Demands, sum.Unreached, sum.Rollouts = EncodeWork(totals.Work), EncodeDemand(totals.Demand), unreached.encode(), rolled.encode()
 	sum.Levels, sum.LevelsUnknown = a.quotas.Levels(int(sum.GetInstances()), now), !a.levelsKnown(now)
 	sum.AgeMs, sum.UnixMs = ages/int64(max(sum.GetInstances(), 1)), median(clocks)
 	return sum
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -27,7 +27,7 @@
 func (r *run) attempt(c candidate) (done bool, err error) {
 	s := r.server
 	r.tries++
-	r.currentServer, r.answerBegun, r.continued, r.sentAt = c.server.ID, false, r.lastEvent == "", time.Time{}
+	r.currentServer, r.answerBegun, r.continued, r.sentAt, r.exposure.firstAt = c.server.ID, false, r.lastEvent == "", time.Time{}, time.Time{}
 	ctx, abort, stopTimer, cancel := r.attemptContext()
 	defer cancel()
 	job := s.Predictor.Begin(r.pool, c.server.ID, r.req.Prompt, c.estimate.Cached, time.Now())
@@ -40,6 +40,7 @@
 		MaxConnections: r.maxConnections(), Wanted: func() bool { return r.isWanted(c.server) },
 	})
 	s.paths.End(wait)
+	defer func() { r.recordForRollout(c, answer, err) }()
 	if err != nil {
 		return false, r.recordUnanswered(c.server, err)
 	}
@@ -61,6 +62,7 @@
 		return r.relayStream(answer, job, c.server, stopTimer)
 	}
 	stopTimer()
+	r.exposure.firstAt = time.Now()
 	job.FirstToken(time.Now())
 	if r.headSent {
 		return false, r.recordFailedResume(answer, c.server)
--- a/internal/serve/loss.go
+++ b/internal/serve/loss.go
@@ -252,13 +252,18 @@
 	if r.refuseQuarantined(now) != nil {
 		return false
 	}
-	if !r.mayGoTo(server, now) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
+	if !r.mayGoTo(server, now) || !r.rolloutAllows(server) || !r.server.Limits.Take(ratelimit.IncarnationOf(server), now) {
 		return false
 	}
 	if !r.server.Brittle.Take(server, now) {
 		r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
 		return false
 	}
+	if !r.rolloutPass(now).Take(server, now) {
+		r.server.Limits.Refund(ratelimit.IncarnationOf(server), now)
+		r.server.Brittle.Release(server)
+		return false
+	}
 	r.hasRoom = true
 	r.sentAt = now
 	return true
--- a/internal/serve/origin.go
+++ b/internal/serve/origin.go
@@ -66,6 +66,8 @@
 // stream, or one that may begin streams.
 func (r *run) mayServe(s *fleet.Server) bool {
 	switch {
+	case !r.rolloutAllows(s):
+		return false
 	case r.origin != nil:
 		return r.origin.CanContinue(s)
 	case r.isResumable():
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -90,7 +90,8 @@
 	// rateLimit is what the last answer said about the rate of requests that its server takes.
 	rateLimit ratelimit.Limit
 	// brittle is set if the server of the last answer is brittle.
-	brittle bool
+	brittle  bool
+	exposure exposure
 	// hasRoom is set while the request counts against the room of the current server.
 	hasRoom bool
 	// sentAt is when the current attempt was about to be sent; zero before.
@@ -116,6 +117,7 @@
 	}
 	defer r.release()
 	err := r.makeAttempts()
+	r.exposure.pass.End()
 	r.endStream()
 	return err
 }
@@ -173,6 +175,9 @@
 		return s.Predictor.Predict(r.pool, id, r.req.Prompt, assumed, now)
 	}
 	best, ok := choose(p)
+	if !ok && r.exposure.pass.FallBack() {
+		best, ok = choose(p)
+	}
 	if !ok {
 		best, ok = r.awaitRoom(p, now)
 	}
@@ -181,6 +186,9 @@
 	}
 	r.lastCandidate = best
 	wait := r.lateRetryAfter(&best, now)
+	if wait > 0 && r.exposure.pass.FallBack() {
+		return r.choose()
+	}
 	refused := wait > 0 && r.attempts == 0
 	r.recordDemand(&best, refused, now)
 	if refused {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -25,6 +25,7 @@
 	"kumquatyard/internal/reach"
 	"kumquatyard/internal/rescue"
 	"kumquatyard/internal/retry"
+	"kumquatyard/internal/rollout"
 )
 
 // Quotas enforces the workspaces' quotas.
@@ -67,6 +68,9 @@
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
+	// Rollouts says which versions requests may go to while a pool's version is changed; New creates
+	// one without roll-outs if it is nil.
+	Rollouts *rollout.Tracker
 	// DrainTime is how long a server may get requests after it was announced that it leaves; 0
 	// means without a limit.
 	DrainTime time.Duration
@@ -126,6 +130,9 @@
 	if o.Origins == nil {
 		o.Origins = origin.New(origin.Options{Log: o.Log})
 	}
+	if o.Rollouts == nil {
+		o.Rollouts = rollout.New(rollout.Options{Log: o.Log})
+	}
 	if o.Helpers == nil {
 		o.Helpers = handover.NewDirectory(o.Zone)
 	}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -51,6 +51,7 @@
 		part, err := events.Next()
 		if len(part) > 0 {
 			stopTimer()
+			r.exposure.noteFirst(time.Now())
 			job.FirstToken(time.Now())
 			r.server.paths.Heard(pathTo(server), time.Now())
 			if err := r.confirmOrigin(server); err != nil {
