forecast, serve, platform: an estimate per server, from its answers and its reports

Cause: a load header of four figures was dropped whole, one speed was learned per pool, and plain services were steered by the count of active requests alone, where servers differ by 0.7 to 1.7 and turn slow for moments.

Change: platform decodes the fourth figure into serve.Load.Slowdown. forecast estimates per server how much longer than usual in its pool work takes: a learned ratio (the answers of all instances, as levels in Work fields 5 to 9) times the last reported slowdown, pulled back to usual. It stretches the first token, the drain, the prefill of shared parts and the batch's cost. Plain services whose servers report it are chosen at random by 1 over their expected time. Predictor.Rate is the mean of the pool's servers, less what their reports say is lost; autoscale takes it as ServerRate, so it orders for the mean server and not for the fast ones, and counts fewer tokens per server where slowdowns are reported. Equal servers without reports: ratio 1, as before.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -70,6 +70,8 @@
 	// others is the work of all other instances by the Key of the server, as of othersAt.
 	others   map[uint32]rollup.Work
 	othersAt time.Time
+	// refreshedAt is when the means over the pools' servers were computed.
+	refreshedAt time.Time
 }
 
 // engine is the state of one server.
@@ -87,6 +89,7 @@
 	// last own report, read at reportedAt.
 	reportedByOthers int
 	reportedAt       time.Time
+	serverSpeed
 }
 
 // NewPredictor returns a Predictor without any work.
@@ -112,8 +115,28 @@
 	Cached int
 	// Work is the estimated work of all instances at the server.
 	Work rollup.Work
-	// TokensPerSecond is the prefill rate of the pool's servers; 0 without a prompt.
+	// TokensPerSecond is the prefill rate of the server; 0 without a prompt.
 	TokensPerSecond float64
+	// Slowdown is how much longer than usual in the pool the server's work takes; 0 is unknown.
+	Slowdown float64
+	// Uneven is set while the servers of the pool differ in speed, and OthersAge is the age of what
+	// is known of the other instances' requests.
+	Uneven    bool
+	OthersAge time.Duration
+	// Reports is set if servers of the pool report their slowdown. Queue is then the number of
+	// requests that wait at this one by its recent reports, and ServiceTime the time to an answer
+	// of a plain service's server of usual speed; 0 while unknown.
+	Reports     bool
+	Queue       float64
+	ServiceTime time.Duration
+}
+
+// Ratio returns the Slowdown, 1 if it is unknown.
+func (e Estimate) Ratio() float64 {
+	if e.Slowdown <= 0 {
+		return 1
+	}
+	return e.Slowdown
 }
 
 // PrefillTime returns the prefill time of a number of tokens; 0 when the rate is
@@ -132,16 +155,23 @@
 	pred.mu.Lock()
 	defer pred.mu.Unlock()
 	e := pred.engine(id)
+	e.pool = pool
 	speed := pred.speed(pool)
-	work := pred.work(e, now, speed.netDrainRate())
+	slowdown := pred.slowdown(e, speed, now)
+	work := pred.work(e, now, speed.netDrainRate()/slowdown)
 	cached := 0
 	if p != nil {
 		cached = max(e.cache.reusable(p), assumed)
 	}
-	est := Estimate{Cached: cached, Work: work}
+	est := Estimate{Cached: cached, Work: work, Slowdown: slowdown, Uneven: speed.reports || speed.uneven, OthersAge: now.Sub(pred.othersAt), Reports: speed.reports, ServiceTime: speed.serviceTime}
+	if speed.reports {
+		recent := pred.recentReports(e, now)
+		est.Queue = recent.current * recent.waiting
+	}
 	if p != nil {
-		est.FirstToken = speed.firstToken(work.WaitingTokens+max(p.Tokens-cached, 0)) + speed.decayedLag(now)
-		est.TokensPerSecond = speed.tokensPerSecond
+		usual := speed.firstToken(work.WaitingTokens + max(p.Tokens-cached, 0))
+		est.FirstToken = time.Duration(float64(usual)*slowdown) + speed.decayedLag(now)
+		est.TokensPerSecond = speed.tokensPerSecond / slowdown
 	}
 	return est
 }
@@ -198,13 +228,14 @@
 // maxReportAge is the age after which a server's own report is ignored.
 const maxReportAge = 300 * time.Millisecond
 
-// RecordServerReport records the number of active requests that a server reported with
-// an answer.
-func (pred *Predictor) RecordServerReport(id machine.ID, active int, now time.Time) {
+// RecordServerReport records what a server of a pool reported of itself with an answer.
+func (pred *Predictor) RecordServerReport(pool string, id machine.ID, r Report, now time.Time) {
 	pred.mu.Lock()
 	defer pred.mu.Unlock()
 	e := pred.engine(id)
-	e.reportedByOthers, e.reportedAt = max(active-e.local.Active, 0), now
+	e.pool = pool
+	e.reportedByOthers, e.reportedAt = max(r.Active-e.local.Active, 0), now
+	pred.speed(pool).observeReport(e, r, now)
 }
 
 // Job is a request of this instance at a server.
@@ -227,8 +258,8 @@
 	defer pred.mu.Unlock()
 	e := pred.engine(id)
 	j := &Job{predictor: pred, id: id, pool: pool, prompt: p, startedAt: now}
-	rate := pred.speed(pool).netDrainRate()
 	e.pool = pool
+	rate := pred.drainRate(e, now)
 	j.tokensAhead = pred.work(e, now, rate).WaitingTokens
 	if p != nil {
 		j.prefillTokens = max(p.Tokens-cached, 0)
@@ -249,17 +280,18 @@
 	}
 	j.firstTokenSeen = true
 	j.change(rollup.Work{Waiting: -1, WaitingTokens: -j.prefillTokens}, now)
+	e, speed, took := pred.engine(j.id), pred.speed(j.pool), now.Sub(j.startedAt)
 	if j.prompt != nil {
-		speed, took := pred.speed(j.pool), now.Sub(j.startedAt)
-		speed.observeLag(took-speed.firstToken(j.tokensAhead+j.prefillTokens), now)
-		speed.observe(j.tokensAhead, j.prefillTokens, took)
+		pred.learn(e, speed, j.tokensAhead, j.prefillTokens, took, now)
+	} else {
+		pred.learnService(e, speed, took, now)
 	}
 }
 
 // change adds w to this instance's work at the job's engine.
 func (j *Job) change(w rollup.Work, now time.Time) {
 	e := j.predictor.engine(j.id)
-	pending := j.predictor.pendingNow(e, now, j.predictor.speed(j.pool).netDrainRate())
+	pending := j.predictor.pendingNow(e, now, j.predictor.drainRate(e, now))
 	e.local.Add(w)
 	e.setPending(pending, now)
 }
@@ -281,16 +313,17 @@
 	j.change(w, now)
 }
 
-// LocalWork returns this instance's work by the Key of the server, to report it to the
-// other instances.
+// LocalWork returns this instance's work, and what it observed of the speeds, by the Key of the
+// server, to report it to the other instances.
 func (pred *Predictor) LocalWork(now time.Time) map[uint32]rollup.Work {
 	pred.mu.Lock()
 	defer pred.mu.Unlock()
 	out := make(map[uint32]rollup.Work)
 	for _, e := range pred.engines {
-		if e.local.Active > 0 {
-			w := e.local
-			w.WaitingTokens = pred.pendingNow(e, now, pred.speed(e.pool).netDrainRate())
+		w := e.local
+		w.Speed, w.Reports = e.learned.decayed(now, speedMemory).speedSum(), e.reported.decayed(now, reportMemory).reportSum()
+		if w != (rollup.Work{}) {
+			w.WaitingTokens = pred.pendingNow(e, now, pred.drainRate(e, now))
 			out[e.key] = w
 		}
 	}
@@ -317,6 +350,12 @@
 	}
 }
 
+// drainRate returns the rate at which the waiting work at a server shrinks, in tokens per second.
+func (pred *Predictor) drainRate(e *engine, now time.Time) float64 {
+	s := pred.speed(e.pool)
+	return s.netDrainRate() / pred.slowdown(e, s, now)
+}
+
 // speed returns the learned speed of a pool and creates it on first use.
 func (pred *Predictor) speed(pool string) *speed {
 	s := pred.speeds[pool]
@@ -335,11 +374,16 @@
 	pred.speed(pool).arrivalRate = perSecond
 }
 
-// Rate returns the learned prefill rate of one server of a pool, in tokens per second.
+// Rate returns the mean prefill rate of the servers of a pool, in tokens per second. Where the
+// servers are equal, it is the rate that was learned from all their answers.
 func (pred *Predictor) Rate(pool string) float64 {
 	pred.mu.Lock()
 	defer pred.mu.Unlock()
-	return pred.speed(pool).tokensPerSecond
+	s := pred.speed(pool)
+	if s.meanCapacity <= 0 {
+		return s.tokensPerSecond
+	}
+	return s.tokensPerSecond * s.meanCapacity
 }
 
 // Running returns the number of unfinished requests of all instances at the given
--- a/internal/forecast/rate.go
+++ b/internal/forecast/rate.go
@@ -42,6 +42,7 @@
 	// lag is how much later than predicted recent first tokens arrived, as of lagAt.
 	lag   time.Duration
 	lagAt time.Time
+	poolSpeed
 }
 
 const (
--- a/internal/rollup/rollup_test.go
+++ b/internal/rollup/rollup_test.go
@@ -243,3 +243,22 @@
 		t.Errorf("the other zone hears %v after the paths are back", list)
 	}
 }
+
+// Sums of speeds are levels: a member subtracts its own, and members that send none, as earlier
+// builds, do not disturb them.
+func TestSpeedsAreSummedAndSubtracted(t *testing.T) {
+	const server = 7
+	own := map[uint32]Work{server: {Active: 1, Speed: SpeedSum{4, -12}, Reports: ReportSum{2, 30, 8}}}
+	other := map[uint32]Work{server: {Speed: SpeedSum{9, 64}, Reports: ReportSum{4, -3, 0}}}
+	earlier := &pb.Work{Servers: []uint32{server}, Active: []uint32{3}, Waiting: []uint32{0}, WaitingTokens: []uint32{0}}
+	totals := newTotals()
+	for _, work := range []*pb.Work{EncodeWork(own), earlier, EncodeWork(other)} {
+		totals.add(work, nil)
+	}
+	totals.subtract(EncodeWork(own), nil)
+	want := other[server]
+	want.Active = 3
+	if got := totals.Work[server]; got != want {
+		t.Errorf("%+v is left, want %+v", got, want)
+	}
+}
--- a/internal/rollup/totals.go
+++ b/internal/rollup/totals.go
@@ -31,6 +31,9 @@
 	// of their prompts that still need prefill.
 	Waiting       int
 	WaitingTokens int
+	// Speed tells how fast the server answers, and Reports what it reports.
+	Speed   SpeedSum
+	Reports ReportSum
 }
 
 // Add adds o to w.
@@ -38,6 +41,16 @@
 	w.Active += o.Active
 	w.Waiting += o.Waiting
 	w.WaitingTokens += o.WaitingTokens
+	w.Speed = w.Speed.plus(o.Speed)
+	w.Reports = w.Reports.plus(o.Reports)
+}
+
+// Minus returns w without what o, which was added before, holds.
+func (w Work) Minus(o Work) Work {
+	return Work{
+		max(w.Active-o.Active, 0), max(w.Waiting-o.Waiting, 0), max(w.WaitingTokens-o.WaitingTokens, 0),
+		w.Speed.minus(o.Speed), w.Reports.minus(o.Reports),
+	}
 }
 
 // Totals are quantities that are summed over instances.
@@ -67,11 +80,16 @@
 
 // workAt returns the work of a message at its server number i.
 func workAt(work *pb.Work, i int) Work {
-	return Work{element(work.GetActive(), i), element(work.GetWaiting(), i), element(work.GetWaitingTokens(), i)}
+	return Work{
+		element(work.GetActive(), i), element(work.GetWaiting(), i), element(work.GetWaitingTokens(), i),
+		SpeedSum{element(work.GetSpeedWeights(), i), element(work.GetSpeedLogs(), i)},
+		ReportSum{element(work.GetReportWeights(), i), element(work.GetReportLogs(), i), element(work.GetReportWaiting(), i)},
+	}
 }
 
-// element returns an element of a list, 0 if a malformed message has a shorter one.
-func element(list []uint32, i int) int {
+// element returns an element of a list, 0 if a malformed message has a shorter one or if the
+// sender does not know the list.
+func element[N uint32 | int32](list []N, i int) int {
 	if i >= len(list) {
 		return 0
 	}
@@ -81,8 +99,7 @@
 // subtract removes the totals of a message that was added before.
 func (t *Totals) subtract(work *pb.Work, demands []*pb.PoolDemand) {
 	for i, key := range work.GetServers() {
-		w, less := t.Work[key], workAt(work, i)
-		t.Work[key] = Work{max(w.Active-less.Active, 0), max(w.Waiting-less.Waiting, 0), max(w.WaitingTokens-less.WaitingTokens, 0)}
+		t.Work[key] = t.Work[key].Minus(workAt(work, i))
 	}
 	for _, d := range demands {
 		t.Demand[d.GetPool()] = max(t.Demand[d.GetPool()]-float64(d.GetTokensPerSecond()), 0)
@@ -100,6 +117,11 @@
 		m.Active = append(m.Active, uint32(w.Active))
 		m.Waiting = append(m.Waiting, uint32(w.Waiting))
 		m.WaitingTokens = append(m.WaitingTokens, uint32(min(w.WaitingTokens, math.MaxUint32)))
+		m.SpeedWeights = append(m.SpeedWeights, uint32(w.Speed.Weight))
+		m.SpeedLogs = append(m.SpeedLogs, int32(w.Speed.Log))
+		m.ReportWeights = append(m.ReportWeights, uint32(w.Reports.Weight))
+		m.ReportLogs = append(m.ReportLogs, int32(w.Reports.Log))
+		m.ReportWaiting = append(m.ReportWaiting, uint32(w.Reports.Waiting))
 	}
 	return m
 }
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -51,7 +51,7 @@
 	r.rateLimit, r.brittle = answer.RateLimit, answer.Brittle
 	s.heed(answer, c.server, r.req.ID, r.sentAt)
 	if answer.Load != nil {
-		s.Predictor.RecordServerReport(c.server.ID, answer.Load.Running+answer.Load.Waiting, time.Now())
+		s.Predictor.RecordServerReport(r.pool, c.server.ID, answer.Load.report(), time.Now())
 	}
 	if answer.Misdirected || answer.Refused {
 		return false, r.recordNotRun(c.server, answer)
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -39,6 +39,8 @@
 	server   *fleet.Server
 	estimate forecast.Estimate
 	cost     time.Duration
+	// draw is uniformly distributed.
+	draw uint64
 }
 
 // placement holds the inputs of a choice of a server.
@@ -62,6 +64,8 @@
 	target time.Duration
 	// sample is the number of servers to compare, besides the affinity server.
 	sample int
+	// othersShare is the share of the pool's requests for which other instances choose.
+	othersShare float64
 }
 
 const (
@@ -103,8 +107,9 @@
 	}
 	for _, s := range p.sampleServers(usable, affinity) {
 		c := p.candidate(s, s == affinity)
-		p.price(&c)
 		draw = rendezvous.Mix(draw + 1)
+		c.draw = draw
+		p.price(&c)
 		c.cost += time.Duration(draw % uint64(tieBreak))
 		if !found || c.cost < best.cost {
 			best, found = c, true
@@ -187,6 +192,10 @@
 // shared tokens that are not cached, the occupancy of the batch, and traffic to
 // another zone.
 func (p *placement) price(c *candidate) {
+	if p.prompt == nil && c.estimate.Reports {
+		p.priceService(c)
+		return
+	}
 	c.cost = p.waitCost(c.estimate.FirstToken) + batchCost(c)
 	if p.prompt != nil {
 		missing := max(p.prompt.SharedTokens()-c.estimate.Cached, 0)
@@ -195,6 +204,9 @@
 	if c.server.Zone != p.zone {
 		c.cost += otherZonePenalty
 	}
+	if c.estimate.Uneven {
+		c.cost = p.spread(c.cost, c.estimate.OthersAge, c.draw)
+	}
 }
 
 // waitCost returns the cost of a wait. It grows with the square of the wait and
@@ -207,11 +219,13 @@
 	return time.Duration(float64(wait) * float64(wait) / float64(p.target))
 }
 
-// batchCost returns the cost of adding a request to the server's batch.
+// batchCost returns the cost of adding a request to the server's batch. The slower the server,
+// the more it delays the requests of its batch.
 func batchCost(c *candidate) time.Duration {
 	slots, active := max(c.server.Slots, 1), c.estimate.Work.Active
+	penalty := float64(batchPenalty) * c.estimate.Ratio()
 	if active >= slots {
-		return batchPenalty + time.Duration(active-slots+1)*batchPenalty/4
+		return time.Duration(penalty + float64(active-slots+1)*penalty/4)
 	}
-	return time.Duration(float64(batchPenalty) * math.Pow(float64(active)/float64(slots), batchPower))
+	return time.Duration(penalty * math.Pow(float64(active)/float64(slots), batchPower))
 }
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -217,6 +217,7 @@
 	s := r.server
 	return &placement{
 		zone: s.Zone, servers: s.Snapshot().Servers[r.pool], mayServe: r.mayServe, exclude: exclude, seed: seed(), sample: sampleSize(s.Instances()),
+		othersShare: 1 - 1/float64(max(s.Instances(), 1)),
 		isSuspected: func(id machine.ID) bool { return s.isSuspected(reach.Path{Pool: r.pool, Server: id}, now) },
 		isWanted:    func(server *fleet.Server) bool { return s.accepts(server, now) },
 		isLimited:   func(server *fleet.Server) bool { return s.Limits.IsLimited(ratelimit.IncarnationOf(server)) },
@@ -311,6 +312,9 @@
 		"config": r.server.Snapshot().Config.Version, "report_age_ms": time.Since(c.server.ReportedAt).Milliseconds(),
 		"active": c.estimate.Work.Active,
 	}
+	if c.estimate.Slowdown > 0 && c.estimate.Slowdown != 1 {
+		f["slowdown"] = c.estimate.Slowdown
+	}
 	if c.server.Version != "" {
 		f["version"] = c.server.Version
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -286,6 +286,7 @@
 		s.Predictor.SetArrivalRate(pool, s.Demand.Total(pool, now)/float64(max(len(servers), 1)))
 		for _, server := range servers {
 			known[server.ID] = server.Lifecycle
+			s.Predictor.SetIncarnation(server.ID, server.StartedAtMs)
 			members = append(members, outlier.Member{ID: server.ID, Zone: "", Pool: server.Pool})
 		}
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -158,7 +158,17 @@
 }
 
 // Load is the load that a server reports with an answer.
-type Load struct{ Running, Waiting, Slots int }
+type Load struct {
+	Running, Waiting, Slots int
+	// Slowdown is how much longer than usual work takes on the server's machine at present; 1 is
+	// as usual, and 0 unknown.
+	Slowdown float64
+}
+
+// report returns the load as the Predictor takes it.
+func (l *Load) report() forecast.Report {
+	return forecast.Report{Active: l.Running + l.Waiting, Waiting: l.Waiting, Slowdown: l.Slowdown}
+}
 
 // ErrNoConnection means that this instance's connections to a server are all in
 // use and that nothing was sent.
