--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -262,7 +262,7 @@
 	}
 	if !l.Known {
 		// The number of servers that ran before is all that is known of the load.
-		need = max(need, float64(s.discovered))
+		need = max(need, float64(s.discovered)*unknownLoadShare)
 	}
 	s.needs = append(s.needs, pastNeed{in.Now, need})
 	s.needs = slices.DeleteFunc(s.needs, func(p pastNeed) bool { return in.Now.Sub(p.at) > s.settings.ScaleDownDelay })
@@ -277,6 +277,10 @@
 	return max(s.settings.Utilization-s.settings.StalenessPenalty*staleness.Seconds(), s.settings.MinUtilization)
 }
 
+// unknownLoadShare is the fraction of the discovered servers that is kept until the
+// load is known.
+const unknownLoadShare = 0.75
+
 // cheapestMix returns the cheapest mix of servers that covers the need, also after the
 // loss of any one zone's reclaimable servers. limit bounds the reclaimable servers of
 // a zone; Scaling.Max bounds both markets of a zone together.
