--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -225,19 +225,6 @@
 	return remainingAfter(now.Sub(e.pendingAt), e.pendingTokens, total, rate)
 }
 
-// maxReportAge is the age after which a server's own report is ignored.
-const maxReportAge = 300 * time.Millisecond
-
-// RecordServerReport records what a server of a pool reported of itself with an answer.
-func (pred *Predictor) RecordServerReport(pool string, id machine.ID, r Report, now time.Time) {
-	pred.mu.Lock()
-	defer pred.mu.Unlock()
-	e := pred.engine(id)
-	e.pool = pool
-	e.reportedByOthers, e.reportedAt = max(r.Active-e.local.Active, 0), now
-	pred.speed(pool).observeReport(e, r, now)
-}
-
 // Job is a request of this instance at a server.
 type Job struct {
 	predictor      *Predictor
@@ -374,18 +361,6 @@
 	pred.speed(pool).arrivalRate = perSecond
 }
 
-// Rate returns the mean prefill rate of the servers of a pool, in tokens per second. Where the
-// servers are equal, it is the rate that was learned from all their answers.
-func (pred *Predictor) Rate(pool string) float64 {
-	pred.mu.Lock()
-	defer pred.mu.Unlock()
-	s := pred.speed(pool)
-	if s.meanCapacity <= 0 {
-		return s.tokensPerSecond
-	}
-	return s.tokensPerSecond * s.meanCapacity
-}
-
 // Running returns the number of unfinished requests of all instances at the given
 // servers.
 func (pred *Predictor) Running(servers []machine.ID, now time.Time) int {
--- a/internal/forecast/slowdown.go
+++ b/internal/forecast/slowdown.go
@@ -70,6 +70,19 @@
 	serviceTime time.Duration
 }
 
+// maxReportAge is the age after which a server's own report is ignored.
+const maxReportAge = 300 * time.Millisecond
+
+// RecordServerReport records what a server of a pool reported of itself with an answer.
+func (pred *Predictor) RecordServerReport(pool string, id machine.ID, r Report, now time.Time) {
+	pred.mu.Lock()
+	defer pred.mu.Unlock()
+	e := pred.engine(id)
+	e.pool = pool
+	e.reportedByOthers, e.reportedAt = max(r.Active-e.local.Active, 0), now
+	pred.speed(pool).observeReport(e, r, now)
+}
+
 // observeReport records a server's report of itself.
 func (s *speed) observeReport(e *engine, r Report, now time.Time) {
 	e.waiting = min(r.Waiting, maxWaiting)
@@ -226,3 +239,15 @@
 	log := math.Log(took.Seconds() / usual.Seconds() / momentary)
 	return min(max(log, -maxLogRatio), maxLogRatio)
 }
+
+// Rate returns the mean prefill rate of the servers of a pool, in tokens per second. Where the
+// servers are equal, it is the rate that was learned from all their answers.
+func (pred *Predictor) Rate(pool string) float64 {
+	pred.mu.Lock()
+	defer pred.mu.Unlock()
+	s := pred.speed(pool)
+	if s.meanCapacity <= 0 {
+		return s.tokensPerSecond
+	}
+	return s.tokensPerSecond * s.meanCapacity
+}
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -15,6 +15,9 @@
 	// firstByteSeconds and requestSeconds start at the request's arrival.
 	firstByteSeconds = metrics.NewHistogram("kumquat_serve_first_byte_seconds")
 	requestSeconds   = metrics.NewHistogram("kumquat_serve_request_seconds")
+	// chosenSlowdown is how much longer than usual in its pool work was taken to take at the server
+	// that was chosen.
+	chosenSlowdown = metrics.NewHistogram("kumquat_serve_chosen_server_slowdown")
 )
 
 // countRefused counts a request that was refused without a server's answer.
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -180,6 +180,7 @@
 		return best, r.refuseWithoutServer(p.servers, now)
 	}
 	r.lastCandidate = best
+	chosenSlowdown.Update(best.estimate.Ratio())
 	wait := r.lateRetryAfter(&best, now)
 	refused := wait > 0 && r.attempts == 0
 	r.recordDemand(&best, refused, now)
