--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -185,6 +185,7 @@
 		return best, r.refuseWithoutServer(p.servers, now)
 	}
 	r.lastCandidate = best
+	chosenSlowdown.Update(best.estimate.Ratio())
 	wait := r.lateRetryAfter(&best, now)
 	if wait > 0 && r.exposure.pass.FallBack() {
 		return r.choose()
