fairshare: short room shared among workspaces and ranks, off by default

Cause: requests are admitted one by one by their predicted wait. When all callers are inside their quotas and a pool is short, whoever asks more often gets more, and everybody waits up to the limit.

Change: internal/fairshare divides the room of a short pool (weighted max-min among workspaces, ranks first inside one, floors) from sums that go through the exchange in two levels (RoomPool, only while near short). What is over its share is refused as not run before a server is asked, but only while the best server has no spare room. Room is the work whose answers begin; servers that announced that they leave do not count. Active only with [shares] enabled = true.

--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -54,7 +54,7 @@
 	return entry.New(entry.Options{
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
-			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps, StoreWritesPerSecond: s.StoreWritesPerSecond,
+			PeersAddress: s.PeersAddress, MetricsAddress: s.MetricsAddress, LinkMbps: s.LinkMbps, ShareRoom: s.ShareRoom, StoreWritesPerSecond: s.StoreWritesPerSecond,
 			DrainTime: s.DrainTime, RetryWindow: s.RetryWindow, UsageWindow: s.UsageWindow, Reloadable: reloadableSettings(s),
 		},
 		Store:   client,
--- a/internal/autoscale/autoscale_test.go
+++ b/internal/autoscale/autoscale_test.go
@@ -479,3 +479,39 @@
 		c.fulfill(scaler, in)
 	}
 }
+
+// Pattern: a wave of reclaims. Servers of a zone announce that they leave, seconds before they do.
+// The next plan, made at the same moment, orders what replaces them.
+func TestReplacementsAreOrderedAtTheAnnouncement(t *testing.T) {
+	c := &cloud{now: start.Add(time.Minute)}
+	for n := range 9 {
+		c.servers = append(c.servers, &simServer{zone: []string{"a", "b", "c"}[n%3], reclaimable: true, readyAt: start})
+	}
+	scaler := New(DefaultSettings)
+	for _, zone := range []string{"a", "b", "c"} {
+		scaler.RecordOutcome(Order{Pool: "p", Zone: zone, Reclaimable: true, Servers: 3}, Accepted, start.Add(time.Minute))
+	}
+	load := Load{TokensPerSecond: 6 * 0.98 * DefaultSettings.Utilization * rate, ServerRate: rate, Slots: 64, Known: true}
+	reported, _ := c.list()
+	for _, o := range scaler.Plan(Input{Pool: pool(), Servers: reported, Now: c.now, Load: load}) {
+		t.Errorf("before the announcement: order %+v, want none", o)
+	}
+	for _, s := range c.servers {
+		if s.zone == "a" {
+			s.goneAt = c.now.Add(3 * time.Second)
+		}
+	}
+	reported, _ = c.list()
+	added := 0
+	for _, o := range scaler.Plan(Input{Pool: pool(), Servers: reported, Now: c.now, Load: load}) {
+		if o.Zone == "a" && o.Reclaimable && o.Servers > 0 {
+			t.Errorf("order %+v: the zone has just taken its reclaimable servers back", o)
+		}
+		if o.Zone != "a" || !o.Reclaimable {
+			added += o.Servers
+		}
+	}
+	if added == 0 {
+		t.Error("nothing is ordered at the announcement")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/clock"
 	"kumquatyard/internal/demand"
+	"kumquatyard/internal/fairshare"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/follow"
 	"kumquatyard/internal/forecast"
@@ -57,6 +58,8 @@
 	brittle *brittle.Tracker
 	// origins knows which versions of the servers' software began streams.
 	origins *origin.Tracker
+	// shares divides the room of pools that are short of it among the workspaces.
+	shares *fairshare.Tracker
 	// helpers knows which other instances may serve requests of this one.
 	helpers  *handover.Directory
 	core     *serve.Server
@@ -115,8 +118,10 @@
 		Store: o.Store, Snapshot: i.snapshots.Load, Instances: i.count, WritesLists: i.readsStore,
 		WritesPerSecond: recordShare * o.Settings.StoreWritesPerSecond, Log: o.Log,
 	})
+	i.shares = i.newShares()
 	i.core = serve.New(serve.Options{
-		Zone: o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
+		Shares: i.shares,
+		Zone:   o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
 		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
@@ -131,6 +136,14 @@
 	return i
 }
 
+// newShares returns the shares of short room, inactive ones unless the settings enable them.
+func (i *Instance) newShares() *fairshare.Tracker {
+	if !i.Settings.ShareRoom {
+		return fairshare.New(fairshare.Options{})
+	}
+	return fairshare.New(fairshare.Options{Instances: i.count, Demand: i.demand.Total, Rate: i.predictor.Rate, Log: i.Log})
+}
+
 // defaultRetryWindow is used if the settings have no retry window.
 const defaultRetryWindow = 10 * time.Second
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -27,6 +27,9 @@
 	MetricsAddress   string
 	// LinkMbps is the bandwidth of the instance's network link, 0 if it is not known.
 	LinkMbps uint32
+	// ShareRoom is set if the instances share the room of pools that are short of it among the
+	// workspaces.
+	ShareRoom bool
 	// StoreWritesPerSecond is the number of writing calls that the store takes from all
 	// instances together; 0 if it is not known.
 	StoreWritesPerSecond float64
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -51,6 +51,7 @@
 		demand[rollup.Key(pool)] = rate
 	}
 	m.Demands = rollup.EncodeDemand(demand)
+	m.Rooms = i.shares.LocalRooms(now).Encode()
 	for _, pool := range i.core.CutPools() {
 		m.UnreachedPools = append(m.UnreachedPools, rollup.Key(pool))
 	}
@@ -80,6 +81,7 @@
 	i.clock.RecordPeerTime(sum.GetFrom().GetName(), time.UnixMilli(sum.GetUnixMs()), now)
 	i.predictor.RecordOthers(others.Work, others.At)
 	i.demand.RecordOthers(others.Demand, others.At)
+	i.shares.RecordOthers(others.Rooms, others.At)
 	if !others.LevelsUnknown {
 		i.ledger.RecordReport(others.Levels, others.Own.GetWorkspaces(), others.Instances, others.At)
 	}
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -24,6 +24,8 @@
 	// routes holds the names of the routes.
 	routes map[string]bool
 	keys   map[string]*Workspace
+	// targets holds the shortest latency target of the routes to a pool.
+	targets map[string]time.Duration
 	// resumable holds the names of the pools whose streams may be resumed.
 	resumable []string
 }
@@ -160,6 +162,7 @@
 		hosts:      make(map[string][]*Route),
 		routes:     make(map[string]bool, len(routes)),
 		keys:       make(map[string]*Workspace),
+		targets:    make(map[string]time.Duration),
 	}
 	for _, p := range pools {
 		c.Pools[p.Name] = p
@@ -168,6 +171,7 @@
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 		c.routes[r.Name] = true
+		c.addTarget(r)
 	}
 	c.resumable = resumablePools(routes)
 	for _, list := range c.hosts {
@@ -197,6 +201,21 @@
 	return slices.Compact(pools)
 }
 
+// addTarget records the latency target of a route for its pools.
+func (c *Config) addTarget(r *Route) {
+	if r.LatencyTarget <= 0 {
+		return
+	}
+	for _, t := range r.Targets {
+		if known, ok := c.targets[t.Pool]; !ok || r.LatencyTarget < known {
+			c.targets[t.Pool] = r.LatencyTarget
+		}
+	}
+}
+
+// ShortestTarget returns the shortest latency target of the routes to a pool, 0 if none has one.
+func (c *Config) ShortestTarget(pool string) time.Duration { return c.targets[pool] }
+
 // ResumablePools returns the names of the pools whose streams may be resumed.
 func (c *Config) ResumablePools() []string { return c.resumable }
 
--- a/internal/rollup/aggregator.go
+++ b/internal/rollup/aggregator.go
@@ -169,7 +169,7 @@
 	sum.Sequence = a.sequence
 	var ages time.Duration
 	clocks := make([]int64, 0, len(members))
-	unreached := make(unreachedPools)
+	unreached, rooms := make(unreachedPools), make(Rooms)
 	for _, m := range members {
 		age := now.Sub(m.receivedAt)
 		ages += age
@@ -177,12 +177,14 @@
 		clocks = append(clocks, m.state.GetUnixMs()+age.Milliseconds())
 		sum.LeavingServers = append(sum.LeavingServers, m.state.GetLeavingServers()...)
 		unreached.add(m.state)
+		rooms.add(m.state.GetRooms())
 		sum.Config = newerConfig(sum.Config, &pb.NewestConfig{Version: m.state.GetConfigVersion(), StatusAddress: m.state.GetFrom().GetStatusAddress()})
 		if m.state.GetHoldsDuties() {
 			sum.Holder = laterHolder(sum.Holder, &pb.DutyHolder{Instance: m.state.GetFrom(), AgeMs: age.Milliseconds()}, 0)
 		}
 	}
 	sum.Work, sum.Demands, sum.Unreached = EncodeWork(totals.Work), EncodeDemand(totals.Demand), unreached.encode()
+	sum.Rooms = rooms.Encode()
 	if len(members) > 0 {
 		sum.AgeMs, sum.UnixMs = (ages / time.Duration(len(members))).Milliseconds(), median(clocks)
 	}
--- a/internal/rollup/member.go
+++ b/internal/rollup/member.go
@@ -35,6 +35,8 @@
 // Others is what a member knows of the other instances.
 type Others struct {
 	Totals
+	// Rooms are those of the pools that are short of room.
+	Rooms Rooms
 	// At is the mean time of the other instances' states.
 	At time.Time
 	// Instances is the number of instances in the sum, this one included.
@@ -59,11 +61,13 @@
 		return Others{}, false
 	}
 	others := Others{
-		Totals: newTotals(), At: now.Add(-age(sum.GetAgeMs())),
+		Totals: newTotals(), Rooms: make(Rooms), At: now.Add(-age(sum.GetAgeMs())),
 		Instances: int(sum.GetInstances()), Levels: sum.GetLevels(), LevelsUnknown: sum.GetLevelsUnknown(), Own: own,
 	}
 	others.add(sum.GetWork(), sum.GetDemands())
 	others.subtract(own.GetWork(), own.GetDemands())
+	others.Rooms.add(sum.GetRooms())
+	others.Rooms.subtract(own.GetRooms())
 	if own == nil {
 		others.Instances++
 	}
--- a/internal/rollup/zones.go
+++ b/internal/rollup/zones.go
@@ -87,8 +87,9 @@
 func (a *Aggregator) FleetSum(own *pb.ZoneSum, stopping bool, now time.Time) *pb.FleetSum {
 	totals := newTotals()
 	totals.add(own.GetWork(), own.GetDemands())
-	unreached := make(unreachedPools)
+	unreached, rooms := make(unreachedPools), make(Rooms)
 	unreached.addAll(own.GetUnreached())
+	rooms.add(own.GetRooms())
 	sum := &pb.FleetSum{
 		From: a.self, Sequence: own.GetSequence(), Instances: own.GetMembers(), Stopping: stopping,
 		LeavingServers: own.GetLeavingServers(), Holder: own.GetHolder(), Config: own.GetConfig(),
@@ -109,6 +110,7 @@
 		passed := now.Sub(s.receivedAt)
 		totals.add(s.sum.GetWork(), s.sum.GetDemands())
 		unreached.addAll(s.sum.GetUnreached())
+		rooms.add(s.sum.GetRooms())
 		sum.Instances += s.sum.GetMembers()
 		ages += (s.sum.GetAgeMs() + passed.Milliseconds()) * int64(s.sum.GetMembers())
 		clocks = append(clocks, s.sum.GetUnixMs()+passed.Milliseconds())
@@ -117,6 +119,7 @@
 		sum.Config = newerConfig(sum.Config, s.sum.GetConfig())
 	}
 	sum.Work, sum.Demands, sum.Unreached = EncodeWork(totals.Work), EncodeDemand(totals.Demand), unreached.encode()
+	sum.Rooms = rooms.Encode()
 	sum.Levels, sum.LevelsUnknown = a.quotas.Levels(int(sum.GetInstances()), now), !a.levelsKnown(now)
 	sum.AgeMs, sum.UnixMs = ages/int64(max(sum.GetInstances(), 1)), median(clocks)
 	return sum
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -62,6 +62,7 @@
 	}
 	stopTimer()
 	job.FirstToken(time.Now())
+	r.recordShareServed(time.Now())
 	if r.headSent {
 		return false, r.recordFailedResume(answer, c.server)
 	}
--- a/internal/serve/run.go
+++ b/internal/serve/run.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"kumquatyard/internal/contract"
+	"kumquatyard/internal/fairshare"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/frame"
@@ -99,6 +100,10 @@
 	// a new run. full are the servers that did not take that KV cache.
 	handle Handle
 	full   []machine.ID
+	// share is what was decided about the request while the pool was short of room.
+	share fairshare.Verdict
+	// shareServed is set once the request's work was counted as served.
+	shareServed bool
 }
 
 // serve answers, refuses or truncates the request.
@@ -180,11 +185,15 @@
 		return best, r.refuseWithoutServer(p.servers, now)
 	}
 	r.lastCandidate = best
-	wait := r.lateRetryAfter(&best, now)
+	wait, reason := r.shareRetryAfter(&best), "the workspace is over its share of the pool's room"
+	if wait == 0 {
+		wait, reason = r.lateRetryAfter(&best, now), "no server would answer in time"
+	}
 	refused := wait > 0 && r.attempts == 0
 	r.recordDemand(&best, refused, now)
+	r.recordShare(&best, now)
 	if refused {
-		return best, contract.Refusal(contract.KindUnavailable, wait, "no server would answer in time")
+		return best, contract.Refusal(contract.KindUnavailable, wait, reason)
 	}
 	return best, nil
 }
@@ -226,13 +235,19 @@
 // outputWeight is the work of one output token, in prompt tokens.
 const outputWeight = 8
 
+// work returns the work that a request with a prompt needs, in prompt tokens.
+func (r *run) work(best *candidate) float64 {
+	p := r.req.Prompt
+	return float64(max(p.Tokens-best.estimate.Cached, 0) + outputWeight*p.ExpectedOutput())
+}
+
 // recordDemand records the work that the request asks for, once per request.
 func (r *run) recordDemand(best *candidate, refused bool, now time.Time) {
 	p := r.req.Prompt
 	if p == nil || r.tries > 0 {
 		return
 	}
-	tokens := float64(max(p.Tokens-best.estimate.Cached, 0) + outputWeight*p.ExpectedOutput())
+	tokens := r.work(best)
 	if refused {
 		r.server.Demand.AddRefused(r.pool, tokens, now)
 	} else {
@@ -336,5 +351,6 @@
 		f["predicted_ms"] = c.estimate.FirstToken.Milliseconds()
 		f["cached_tokens"] = c.estimate.Cached
 	}
+	r.addShare(f)
 	return f
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -14,6 +14,7 @@
 	"kumquatyard/internal/contract"
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/drain"
+	"kumquatyard/internal/fairshare"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
 	"kumquatyard/internal/handover"
@@ -64,6 +65,9 @@
 	// Brittle shares the room of servers that fall over when they turn requests away; New creates
 	// one for a single instance if it is nil.
 	Brittle *brittle.Tracker
+	// Shares decides which requests are over their share of a pool that is short of room; New
+	// creates an inactive one if it is nil.
+	Shares *fairshare.Tracker
 	// Origins knows which versions of the servers' software began streams; New creates one for
 	// a single instance if it is nil.
 	Origins *origin.Tracker
@@ -129,6 +133,9 @@
 	if o.Helpers == nil {
 		o.Helpers = handover.NewDirectory(o.Zone)
 	}
+	if o.Shares == nil {
+		o.Shares = fairshare.New(fairshare.Options{})
+	}
 	if o.Limits == nil {
 		o.Limits = ratelimit.New("", o.Log)
 		o.Limits.SetInstances(nil, time.Now())
@@ -289,6 +296,7 @@
 			members = append(members, outlier.Member{ID: server.ID, Zone: "", Pool: server.Pool})
 		}
 	}
+	s.Shares.Update(p, now)
 	s.evacuate(known)
 	s.probePaths(p, now)
 	s.updateDownShares(p)
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -52,6 +52,7 @@
 		if len(part) > 0 {
 			stopTimer()
 			job.FirstToken(time.Now())
+			r.recordShareServed(time.Now())
 			r.server.paths.Heard(pathTo(server), time.Now())
 			if err := r.confirmOrigin(server); err != nil {
 				return false, err
