--- a/internal/fairshare/tracker.go
+++ b/internal/fairshare/tracker.go
@@ -24,6 +24,9 @@
 	// pool processes, in tokens per second.
 	Demand func(pool string, now time.Time) float64
 	Rate   func(pool string) float64
+	// Random returns numbers that are uniformly distributed over 0 to 1; nil means those of
+	// math/rand.
+	Random func() float64
 	Log    *logrus.Entry
 }
 
@@ -76,6 +79,9 @@
 
 // New returns a Tracker.
 func New(o Options) *Tracker {
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
 	t := &Tracker{options: o, pools: make(map[string]*pool)}
 	t.shares.Store(&map[string]*poolShares{})
 	return t
@@ -117,7 +123,7 @@
 	if !ok || share.Part() >= 1 {
 		return Verdict{Share: share}
 	}
-	if shares.draw(creditKey{key, r.Route}, share.Part()) {
+	if shares.draw(creditKey{key, r.Route}, share.Part(), t.options.Random) {
 		insideTotal.Inc()
 		return Verdict{Share: share}
 	}
@@ -126,12 +132,12 @@
 }
 
 // draw reports whether a request is inside a share of which it is told the part.
-func (s *poolShares) draw(key creditKey, part float64) bool {
+func (s *poolShares) draw(key creditKey, part float64, random func() float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	credit, ok := s.credits[key]
 	if !ok {
-		credit = rand.Float64() // so that the instances do not all refuse the first one
+		credit = random() // so that the instances do not all refuse the first one
 	}
 	credit += part
 	inside := credit >= 1
