--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/clock"
 	"kumquatyard/internal/demand"
+	"kumquatyard/internal/fairshare"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/follow"
 	"kumquatyard/internal/forecast"
@@ -60,6 +61,8 @@
 	origins *origin.Tracker
 	// rollouts says which versions of the servers' software requests may go to.
 	rollouts *rollout.Tracker
+	// shares divides the room of pools that are short of it among the workspaces.
+	shares *fairshare.Tracker
 	// helpers knows which other instances may serve requests of this one.
 	helpers  *handover.Directory
 	core     *serve.Server
@@ -119,8 +122,10 @@
 		Store: o.Store, Snapshot: i.snapshots.Load, Instances: i.count, WritesLists: i.readsStore,
 		WritesPerSecond: recordShare * o.Settings.StoreWritesPerSecond, Log: o.Log,
 	})
+	i.shares = i.newShares()
 	i.core = serve.New(serve.Options{
-		Zone: o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
+		Shares: i.shares,
+		Zone:   o.Settings.Zone, DrainTime: o.Settings.DrainTime, Snapshot: i.snapshots.Load, Instances: i.count, Backend: o.Backend, Quotas: i.ledger, Usage: correctedUsage{i},
 		Predictor: i.predictor, Budget: i.budget, Demand: i.demand, Quarantine: i.quarantine, Limits: i.limits, Brittle: i.brittle, Origins: i.origins, Rollouts: i.rollouts, OtherInstances: i.otherInstances, Helpers: i.helpers, MarkLeaving: i.markLeaving, Log: o.Log,
 	})
 	i.frontend = o.NewFrontend(i.core, i.snapshots.Load)
@@ -135,6 +140,14 @@
 	return i
 }
 
+// newShares returns the shares of short room, inactive ones unless the settings enable them.
+func (i *Instance) newShares() *fairshare.Tracker {
+	if !i.Settings.ShareRoom {
+		return fairshare.New(fairshare.Options{})
+	}
+	return fairshare.New(fairshare.Options{Instances: i.count, Demand: i.demand.Total, Rate: i.predictor.Rate, Log: i.Log})
+}
+
 // defaultRetryWindow is used if the settings have no retry window.
 const defaultRetryWindow = 10 * time.Second
 
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -64,6 +64,7 @@
 	stopTimer()
 	r.exposure.firstAt = time.Now()
 	job.FirstToken(time.Now())
+	r.recordShareServed(time.Now())
 	if r.headSent {
 		return false, r.recordFailedResume(answer, c.server)
 	}
--- a/internal/serve/stream.go
+++ b/internal/serve/stream.go
@@ -53,6 +53,7 @@
 			stopTimer()
 			r.exposure.noteFirst(time.Now())
 			job.FirstToken(time.Now())
+			r.recordShareServed(time.Now())
 			r.server.paths.Heard(pathTo(server), time.Now())
 			if err := r.confirmOrigin(server); err != nil {
 				return false, err
