--- a/cmd/kumquat-entry/main.go
+++ b/cmd/kumquat-entry/main.go
@@ -48,9 +48,10 @@
 }
 
 func newInstance(s platform.Settings, log *logrus.Entry) *entry.Instance {
-	answers, bodies := memoryBudgets(s.MemoryBytes)
-	connections := upstream.NewPool(upstream.DefaultSettings)
-	client := platform.NewStore(s.StoreAddress, storeTimeout, answers)
+	connections := upstream.NewPool(upstreamSettings(s))
+	client := platform.NewStore(s.StoreAddress, storeTimeout, answersBudget(s.MemoryBytes))
+	var limits operatorLimits
+	guard := platform.NewGuard(s, limits.current, log)
 	return entry.New(entry.Options{
 		Settings: entry.Settings{
 			Name: s.Name, Zone: s.Zone, CallersAddress: s.CallersAddress, ReadinessAddress: s.ReadinessAddress,
@@ -60,11 +61,15 @@
 		Store:   client,
 		Backend: platform.NewBackend(connections, log),
 		NewFrontend: func(core *serve.Server, snapshot func() *fleet.Snapshot) entry.Frontend {
-			return platform.NewIngress(core, snapshot, bodies)
+			limits.snapshot.Store(&snapshot)
+			ingress := platform.NewIngress(core, snapshot, nil)
+			ingress.Limit(guard)
+			return ingress
 		},
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer, ServerID: platform.ServerID,
 		RunDuties: func(ctx context.Context, d entry.DutyContext) { runDuties(ctx, s, client, d, log) },
+		Guard:     guard,
 		Sweep:     connections.Sweep,
 		Log:       log,
 	})
--- a/cmd/kumquat-entry/memory.go
+++ b/cmd/kumquat-entry/memory.go
@@ -16,8 +16,6 @@
 	// answersShare is for answers of the store that are being read. Their buffers are up to three
 	// times as large, since they grow by doubling and are decoded.
 	answersShare = 0.1
-	// bodiesShare is for large bodies of requests, which are kept until they are answered.
-	bodiesShare = 0.3
 )
 
 // limitMemory tells the garbage collector how much memory the process may take; 0 if it is not known.
@@ -30,12 +28,12 @@
 	log.WithFields(logrus.Fields{"event": "memory_limited", "memory_bytes": bytes, "collector_limit_bytes": limit}).Info("garbage is collected more often when the process takes nearly all of its memory")
 }
 
-// memoryBudgets returns the budgets of answers and of bodies, nil if the memory is not known.
-func memoryBudgets(bytes int64) (answers, bodies *membudget.Budget) {
+// answersBudget returns the budget of answers, nil if the memory is not known.
+func answersBudget(bytes int64) *membudget.Budget {
 	if bytes <= 0 {
-		return nil, nil
+		return nil
 	}
-	return membudget.New(share(bytes, answersShare)), membudget.New(share(bytes, bodiesShare))
+	return membudget.New(share(bytes, answersShare))
 }
 
 func share(bytes int64, part float64) int64 { return int64(part * float64(bytes)) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"kumquatyard/internal/brittle"
 	"kumquatyard/internal/clock"
+	"kumquatyard/internal/connlimit"
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/follow"
@@ -93,6 +94,9 @@
 // New returns an Instance.
 func New(o Options) *Instance {
 	now := time.Now()
+	if o.Guard == nil {
+		o.Guard = connlimit.Unlimited(o.Log)
+	}
 	i := &Instance{
 		Options: o, snapshots: newSnapshotPublisher(o.Log), predictor: forecast.NewPredictor(),
 		ledger:  quota.New(o.Settings.Reloadable.QuotaTolerance, now),
@@ -183,7 +187,7 @@
 	start(func(context.Context) error { return i.frontend.ServeHandovers(handovers) })
 	start(func(context.Context) error { return i.serveReadiness(background, readiness) })
 	start(func(ctx context.Context) error {
-		return telemetry.Serve(ctx, i.Settings.MetricsAddress, nil, map[string]http.Handler{"GET " + configPath: http.HandlerFunc(i.serveConfig)})
+		return telemetry.ServeAt(ctx, i.Guard.Metrics, i.Settings.MetricsAddress, nil, map[string]http.Handler{"GET " + configPath: http.HandlerFunc(i.serveConfig)})
 	})
 	start(i.exchange.Run)
 	start(func(ctx context.Context) error { i.follower.Run(ctx); return nil })
@@ -275,7 +279,7 @@
 
 func (i *Instance) serveReadiness(ctx context.Context, l net.Listener) error {
 	server := &http.Server{
-		ReadHeaderTimeout: readinessTimeout,
+		ReadHeaderTimeout: readinessTimeout, MaxHeaderBytes: readinessHeaderBytes,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if !i.Ready() {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -284,12 +288,17 @@
 			w.WriteHeader(http.StatusOK)
 		}),
 	}
+	i.Guard.Readiness.Configure(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	return server.Serve(l)
+	return server.Serve(i.Guard.Readiness.Listen(l))
 }
 
-const readinessTimeout = 5 * time.Second
+const (
+	readinessTimeout = 5 * time.Second
+	// readinessHeaderBytes bounds the heads of readiness checks, to which net/http adds 4 KiB.
+	readinessHeaderBytes = 1 << 10
+)
 
 // maintain does the periodic work: it expires servers, counts the instances and
 // sweeps idle connections, until ctx is done.
@@ -306,6 +315,7 @@
 			if i.snapshots.Load() != nil {
 				i.setInstances(i.exchange.InstanceCount(now))
 			}
+			i.Guard.Sweep(now)
 			if i.Sweep != nil {
 				i.Sweep(now)
 			}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"kumquatyard/internal/connlimit"
 	"kumquatyard/internal/demand"
 	"kumquatyard/internal/fleet"
 	"kumquatyard/internal/forecast"
@@ -77,6 +78,8 @@
 	DecodeServer  func(store.Item, time.Time) (fleet.Server, error)
 	ServerID      func(key string) machine.ID
 
+	// Guard bounds what clients take of the process. If it is nil, nothing does.
+	Guard *connlimit.Guard
 	// RunDuties competes for the duties and does them while they are held, until ctx
 	// is done or they were handed over. Nil means that the instance takes no duties.
 	RunDuties func(ctx context.Context, d DutyContext)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -12,18 +12,32 @@
 // A nil Budget has no limit.
 type Budget struct {
 	limit int64
-	held  atomic.Int64
+	// reserve is for the first Free bytes of each message, which are charged if it is not 0.
+	reserve int64
+	held    atomic.Int64
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit} }
 
+// NewWithReserve returns a budget of limit bytes, with reserve bytes more for the first Free bytes
+// of each message. These are charged as well.
+func NewWithReserve(limit, reserve int64) *Budget { return &Budget{limit: limit, reserve: reserve} }
+
 // Take charges n bytes, and reports whether the budget had them.
 func (b *Budget) Take(n int64) bool {
-	if b == nil || n <= 0 {
+	if b == nil {
+		return true
+	}
+	return b.take(n, b.limit)
+}
+
+// take charges n bytes unless more than limit are charged then.
+func (b *Budget) take(n, limit int64) bool {
+	if n <= 0 {
 		return true
 	}
-	if b.held.Add(n) > b.limit {
+	if b.held.Add(n) > limit {
 		b.held.Add(-n)
 		return false
 	}
@@ -57,6 +71,9 @@
 // Grow charges a message that has n bytes now, and reports whether the budget had them. A message
 // never shrinks.
 func (c *Charge) Grow(n int64) bool {
+	if c.budget != nil && c.budget.reserve > 0 {
+		return c.growWithReserve(n)
+	}
 	more := n - Free - c.taken
 	if more <= 0 {
 		return true
@@ -68,6 +85,31 @@
 	return true
 }
 
+// growWithReserve charges the whole message, its first Free bytes also from the reserve.
+func (c *Charge) growWithReserve(n int64) bool {
+	if first := min(n, Free) - c.taken; first > 0 {
+		if !c.budget.take(first, c.budget.limit+c.budget.reserve) {
+			return false
+		}
+		c.taken += first
+	}
+	return c.Cover(n)
+}
+
+// Cover charges n bytes in all, without any that are free, and reports whether the budget had
+// them.
+func (c *Charge) Cover(n int64) bool {
+	more := n - c.taken
+	if more <= 0 {
+		return true
+	}
+	if !c.budget.Take(more) {
+		return false
+	}
+	c.taken += more
+	return true
+}
+
 // Release returns all that was charged.
 func (c *Charge) Release() {
 	c.budget.Release(c.taken)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -39,7 +39,11 @@
 	TraceRatio float64 `yaml:"trace_ratio" validate:"min=0,max=1"`
 }
 
-const readHeaderTimeout = 5 * time.Second
+const (
+	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the heads of requests at a door, to which net/http adds 4 KiB.
+	maxHeaderBytes = 1 << 10
+)
 
 // NewLogger returns a logger that writes one line of key=value pairs per event to
 // standard error.
@@ -70,6 +74,17 @@
 // Serve serves /metrics, /healthz, /readyz, the profiles at /debug/pprof/ and the
 // extra handlers by pattern until ctx is done. If listen is empty, it only waits.
 func Serve(ctx context.Context, listen string, health *Health, extra map[string]http.Handler) error {
+	return ServeAt(ctx, nil, listen, health, extra)
+}
+
+// Door bounds what the clients of a server take.
+type Door interface {
+	Listen(l net.Listener) net.Listener
+	Configure(s *http.Server)
+}
+
+// ServeAt is Serve with a door, nil for none.
+func ServeAt(ctx context.Context, door Door, listen string, health *Health, extra map[string]http.Handler) error {
 	if listen == "" {
 		<-ctx.Done()
 		return nil
@@ -88,6 +103,11 @@
 		return fmt.Errorf("open metrics listener: %w", err)
 	}
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	if door != nil {
+		server.MaxHeaderBytes = maxHeaderBytes
+		door.Configure(server)
+		listener = door.Listen(listener)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); err != nil && ctx.Err() == nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,6 +29,8 @@
 	// for a request that must not be repeated: the server may be closing one that was
 	// idle for longer.
 	NonIdempotentIdleLimit time.Duration
+	// MaxOpen is the number of connections to all servers together; 0 means no limit.
+	MaxOpen int
 }
 
 // DefaultSettings is for servers at a round-trip time of a few milliseconds.
@@ -50,6 +52,8 @@
 	mu   sync.Mutex
 	idle map[string][]*conn
 	open map[string]int
+	// total is the sum of open.
+	total int
 }
 
 // NewPool returns an empty Pool.
@@ -84,11 +88,9 @@
 		p.close(call.Address, c)
 	}
 	for !p.reserve(call.Address, call.MaxConnections) {
-		stale := p.popIdle(call.Address, false)
-		if stale == nil {
+		if !p.closeOneIdle(call.Address) {
 			return nil, ErrConnectionLimit
 		}
-		p.close(call.Address, stale)
 	}
 	return p.dial(ctx, call.Address)
 }
@@ -109,15 +111,53 @@
 	return c
 }
 
+// closeOneIdle closes an idle connection, of this address if there is one, else of another if
+// all connections together are at their limit. It returns false if there is none.
+func (p *Pool) closeOneIdle(address string) bool {
+	if stale := p.popIdle(address, false); stale != nil {
+		p.close(address, stale)
+		return true
+	}
+	other, stale := p.popLongestIdle()
+	if stale == nil {
+		return false
+	}
+	p.close(other, stale)
+	return true
+}
+
+// popLongestIdle returns the connection that has been idle for the longest, if all connections
+// together are at their limit; nil if there is none.
+func (p *Pool) popLongestIdle() (address string, longest *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isFull() {
+		return "", nil
+	}
+	for a, list := range p.idle {
+		if len(list) > 0 && (longest == nil || list[0].lastUsed.Before(longest.lastUsed)) {
+			address, longest = a, list[0]
+		}
+	}
+	if longest != nil {
+		p.idle[address] = p.idle[address][1:]
+	}
+	return address, longest
+}
+
+// isFull reports whether all connections together are at their limit. It is called with mu held.
+func (p *Pool) isFull() bool { return p.settings.MaxOpen > 0 && p.total >= p.settings.MaxOpen }
+
 // reserve counts a connection that is about to be opened. It returns false if limit
-// connections are open; a limit of 0 means no limit.
+// connections to the address are open, or all that the pool may open; a limit of 0 means no limit.
 func (p *Pool) reserve(address string, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit > 0 && p.open[address] >= limit {
+	if limit > 0 && p.open[address] >= limit || p.isFull() {
 		return false
 	}
 	p.open[address]++
+	p.total++
 	return true
 }
 
@@ -169,6 +209,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open[address] += change
+	p.total += change
 	if p.open[address] <= 0 {
 		delete(p.open, address)
 	}
