--- a/internal/connlimit/guard.go
+++ b/internal/connlimit/guard.go
@@ -21,7 +21,7 @@
 	bodyStall   = 15 * time.Second
 	answerStall = 20 * time.Second
 	// callersGrace is above the pauses of a link that many callers share: at 10 Mbit/s for 300
-	// bodies, each makes progress four times a second.
+	// bodies, a segment of each comes every third of a second.
 	callersGrace = 500 * time.Millisecond
 	// bodyMemoryGrace is shorter, since a body that stops holds much of what many want.
 	bodyMemoryGrace = 250 * time.Millisecond
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -53,3 +53,29 @@
 	}
 	c.Release()
 }
+
+// Large messages use a budget up; small ones still pass by its reserve, and everything is charged.
+func TestReserveIsForSmallMessages(t *testing.T) {
+	const limit, reserve = 4 * Free, 2 * Free
+	b := NewWithReserve(limit, reserve)
+	large, small, next, last := b.Charge(), b.Charge(), b.Charge(), b.Charge()
+	if !large.Grow(limit) || b.Held() != limit {
+		t.Fatalf("%d bytes held, want the large message's %d", b.Held(), limit)
+	}
+	if !small.Grow(Free) || !next.Grow(Free) || last.Grow(1) {
+		t.Errorf("%d bytes held, want two small messages in the reserve and no third", b.Held())
+	}
+	if small.Grow(Free + 1) {
+		t.Error("a message grew beyond its free part from the reserve")
+	}
+	large.Release()
+	if !small.Grow(2 * Free) {
+		t.Error("a message did not grow though the large one has ended")
+	}
+	small.Release()
+	next.Release()
+	last.Release()
+	if b.Held() != 0 {
+		t.Errorf("%d bytes held after all messages ended", b.Held())
+	}
+}
