--- a/internal/rollout/counts.go
+++ b/internal/rollout/counts.go
@@ -10,8 +10,8 @@
 const (
 	// latencyClasses is the number of classes of latencies, of which each but the first and the
 	// last spans latencyFactor.
-	latencyClasses = 22
-	latencyFactor  = 1.5
+	latencyClasses = 30
+	latencyFactor  = 1.35
 	firstLatency   = 4 * time.Millisecond
 )
 
--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Step is what the holder of the duties does next for a roll-out.
+// Step is what comes next for a roll-out. The holder of the duties writes the statuses; every instance
+// begins the switch.
 type Step int
 
 // The steps.
--- a/internal/rollout/pass.go
+++ b/internal/rollout/pass.go
@@ -29,9 +29,20 @@
 	return p
 }
 
-// Allows reports whether the request may go to a server. continues is set if the request continues a
-// stream that the server's version began, which only a stopped version may not do.
-func (p *Pass) Allows(s *fleet.Server, continues bool) bool {
+// AllowsContinuation reports whether a stream that a server's version began may go on there, which it
+// may not at a stopped version.
+func (t *Tracker) AllowsContinuation(s *fleet.Server) bool {
+	r := (*t.binding.Load())[s.Pool]
+	if r == nil {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return s.Version != r.order.Version || r.phase != Stopped
+}
+
+// Allows reports whether a request that continues no stream may go to a server.
+func (p *Pass) Allows(s *fleet.Server) bool {
 	if p == nil {
 		return true
 	}
@@ -40,8 +51,6 @@
 	defer r.mu.Unlock()
 	isNew := s.Version == r.order.Version
 	switch {
-	case continues:
-		return !isNew || r.phase != Stopped
 	case r.phase == Finished:
 		return isNew
 	case !p.exposed || r.phase == Stopped:
@@ -102,6 +111,7 @@
 		p.exposed = false
 	}
 	r.sent++
+	countSent(r.order.Pool, s.Version == r.order.Version)
 	return true
 }
 
--- a/internal/rollout/roll.go
+++ b/internal/rollout/roll.go
@@ -91,7 +91,7 @@
 	return logrus.Fields{
 		"event": event, "pool": r.order.Pool, "to": r.order.Version, "order": r.order.Revision.Number, "era": r.order.Revision.Era,
 		"duration_ms": r.order.Duration.Milliseconds(), "age_ms": now.Sub(r.beganAt).Milliseconds(), "phase": r.phase, "state": r.written,
-		"sent": r.sent, "exposed": r.exposed, "new_servers": r.newServers, "old_servers": r.oldServers,
+		"sent": r.sent, "exposed": r.exposed, "new_servers": r.newServers, "answers": answers(r.cells), "old_servers": r.oldServers,
 	}
 }
 
@@ -175,6 +175,7 @@
 		c = &counter{}
 		r.counters[key] = c
 	}
+	countAnswer(r.order.Pool, route, key.target, failed)
 	c.total.add(failed, latency)
 	c.current.add(failed, latency)
 }
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -68,10 +68,8 @@
 	return list
 }
 
-// input returns what the next step is decided by, and the order.
+// input returns what the next step is decided by, and the order. It is called with mu held.
 func (r *roll) input(now time.Time) (Input, Order) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	in := Input{
 		Written: r.written, Phase: r.phase, Age: now.Sub(r.beganAt), Duration: r.order.Duration,
 		Answers: answers(r.cells), NewServers: r.newServers, OldServers: r.oldServers, OldKnown: r.oldKnown, Fresh: r.isFresh(now),
@@ -82,20 +80,17 @@
 	return in, r.order
 }
 
-// step does the next step of a roll-out.
+// step writes the status that a roll-out is due to have.
 func (r *Runner) step(ctx context.Context, roll *roll, now time.Time) {
+	roll.mu.Lock()
 	in, order := roll.input(now)
+	roll.mu.Unlock()
 	if now.Before(r.retryAt[order.Pool]) {
 		return
 	}
 	state := None
 	switch Decide(in) {
-	case Wait:
-		return
-	case SwitchOver:
-		roll.mu.Lock()
-		roll.advance(Switching, "no answers speak against the new version; moving all requests to it", now)
-		roll.mu.Unlock()
+	case Wait, SwitchOver:
 		return
 	case WriteInProgress:
 		state = InProgress
@@ -134,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	countStatus(state)
 	r.Log.WithFields(logrus.Fields{"event": "rollout_status", "pool": order.Pool, "to": order.Version, "state": state, "revision": revision.Number, "era": revision.Era}).Info("status of a roll-out written")
 	r.Tracker.setStatus(order.Pool, Status{State: state, Version: order.Version, Revision: revision}, time.Now())
 	return nil
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -250,6 +250,14 @@
 	}
 }
 
+// switchOver begins the switch when it is due. All instances come to it by the same counts; it must not
+// wait for a holder of the duties that was lost.
+func (r *roll) switchOver(now time.Time) {
+	if in, _ := r.input(now); Decide(in) == SwitchOver {
+		r.advance(Switching, "no answers speak against the new version; all requests move to it", now)
+	}
+}
+
 // Maintain updates what the roll-outs know of the servers and judges this instance's own answers. It
 // is called several times a second.
 func (t *Tracker) Maintain(p *fleet.Snapshot, instances int, now time.Time) {
@@ -260,8 +268,10 @@
 		r.instances = max(instances, 1)
 		r.observeServers(p.Servers[pool])
 		r.rotate(now)
+		r.setGauges()
 		if r.final == None {
 			r.judge(r.ownCells(), 1/float64(2*r.instances), "this instance", now)
+			r.switchOver(now)
 		}
 		r.mu.Unlock()
 	}
--- a/internal/serve/rollout.go
+++ b/internal/serve/rollout.go
@@ -36,9 +36,13 @@
 	return r.exposure.pass
 }
 
-// rolloutAllows reports whether a roll-out lets the request go to a server.
+// rolloutAllows reports whether a roll-out lets the request go to a server. While a stream is being
+// moved, it is called beside the request.
 func (r *run) rolloutAllows(s *fleet.Server) bool {
-	return r.rolloutPass(time.Now()).Allows(s, r.origin != nil)
+	if r.origin != nil {
+		return r.server.Rollouts.AllowsContinuation(s)
+	}
+	return r.rolloutPass(time.Now()).Allows(s)
 }
 
 // recordForRollout counts the outcome of an attempt that was sent to a server, for the judgment of a
