quarantine: an end shortly after a judgment is judged within 10 ms, not with the next record

Cause: judgments are at least 10 ms apart. An answer on a neighbouring part clears a loss and is judged; an end within 10 ms of it was left for whatever was recorded next, or for Expire (every 250 ms in an instance, never in the test). The next sound request's answer usually came first; beside load it did not. It is a fault of class "deferred work without a timer".

Fix: a judgment that comes too early is deferred to the end of the interval, once (Tracker.DeferJudgments; serve sets the timer). The interval, and with it the bound on the cost, stays. It covers losses, answers and other instances' evidence.

Evidence: TestPartIsRefusedSoonAfterItsThirdEnd (no record between the third end and the next request) failed at least 9 of 12 runs before (the output was cut there) and 11 of 12 with the deferral taken out, and passes 12 of 12 with it; TestDeferredJudgmentIsCarriedOut fails without it. -race of internal/quarantine (without the known red TestPartsThatTakeDownAllServers, which still fails alike) and of internal/serve pass.

Open: TestPartThatEndsServersIsRefused, four at once, 1 of 96 runs at a load of 55, against 5 of 97 before; its entry in KNOWN-RED.txt stays. That run has no log; an end that the check of the server (100 ms) does not confirm in time would look like it, which is not shown.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -26,9 +26,14 @@
 // called with mu held.
 func (t *Tracker) update(now time.Time) {
 	isDue := !t.dueAt.IsZero() && !now.Before(t.dueAt)
-	if !t.changed && !isDue || now.Sub(t.judgedAt) < judgeInterval {
+	if !t.changed && !isDue {
 		return
 	}
+	if since := now.Sub(t.judgedAt); since < judgeInterval {
+		t.deferJudgment(judgeInterval - since)
+		return
+	}
+	t.isDeferred = false
 	requests := evaluateRequests(t.requests.evidence, nil, t.settleTime, now)
 	parts := evaluateParts(t.parts.evidence, requests.conclusive, t.settleTime, now)
 	if len(parts.quarantined) > 0 {
@@ -52,6 +57,23 @@
 	t.view.Store(v)
 }
 
+// deferJudgment has Judge called after a time, unless it will be.
+func (t *Tracker) deferJudgment(after time.Duration) {
+	if t.isDeferred || t.judgeAfter == nil {
+		return
+	}
+	t.isDeferred = true
+	t.judgeAfter(after)
+}
+
+// Judge judges the evidence that came too shortly after the last judgment.
+func (t *Tracker) Judge(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isDeferred = false
+	t.update(now)
+}
+
 // kind is what a judgment is about, for the log.
 type kind struct {
 	// key is the log's key of a subject.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -74,6 +74,10 @@
 	dueAt      time.Time
 	settleTime time.Duration
 	instances  int
+	// judgeAfter has Judge called after a time; nil if nobody does. isDeferred is set from then
+	// until the next judgment.
+	judgeAfter func(after time.Duration)
+	isDeferred bool
 	view       atomic.Pointer[view]
 }
 
@@ -114,6 +118,15 @@
 	t.instances, t.settleTime = n, settleTime
 }
 
+// DeferJudgments sets what has Judge called after a time. Without it, evidence that comes shortly
+// after a judgment is judged with the next evidence or by Expire. judgeAfter must not call Judge
+// itself.
+func (t *Tracker) DeferJudgments(judgeAfter func(after time.Duration)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judgeAfter = judgeAfter
+}
+
 // Quarantined reports whether one of the parts is quarantined, which one, and for how
 // long.
 func (t *Tracker) Quarantined(parts []uint64, now time.Time) (part uint64, left time.Duration, ok bool) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -231,3 +231,40 @@
 		})
 	}
 }
+
+// Guards against the sixth end of TestPartThatEndsServersIsRefused: evidence that comes shortly
+// after a judgment is judged once the least time between two has passed, whatever comes next.
+func TestDeferredJudgmentIsCarriedOut(t *testing.T) {
+	tests := map[string]func(tr *Tracker){
+		"a loss": func(tr *Tracker) { tr.lose(2, 403, 1, 666) },
+		"another instance's losses": func(tr *Tracker) {
+			other := newTracker()
+			other.lose(2, 403, 666)
+			tr.Merge(other.Evidence(false, at(403)), at(403))
+		},
+	}
+	for name, third := range tests {
+		tr := newTracker()
+		var deferred []time.Duration
+		tr.DeferJudgments(func(after time.Duration) { deferred = append(deferred, after) })
+		for n := range 2 {
+			tr.RecordAnswer([]uint64{1, 2}, at(200*n))
+			tr.lose(n, 200*n+50, 1, 666)
+		}
+		tr.RecordAnswer([]uint64{1, 2}, at(400))
+		third(tr)
+		third(tr)
+		if len(deferred) != 1 || deferred[0] != 7*time.Millisecond {
+			t.Errorf("%s: judgments deferred by %v, want one by 7ms", name, deferred)
+			continue
+		}
+		tr.Judge(at(403).Add(deferred[0]))
+		if !tr.holds(666, at(411)) || tr.holds(1, at(411)) {
+			t.Errorf("%s: the part is held: %v, its neighbour: %v, want only the first", name, tr.holds(666, at(411)), tr.holds(1, at(411)))
+		}
+		tr.lose(3, 412, 1, 666)
+		if len(deferred) != 2 {
+			t.Errorf("%s: %d judgments deferred after the next end, want 2", name, len(deferred))
+		}
+	}
+}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -119,6 +119,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(o.Log)
 	}
+	o.Quarantine.DeferJudgments(func(after time.Duration) {
+		time.AfterFunc(after, func() { o.Quarantine.Judge(time.Now()) })
+	})
 	if o.Brittle == nil {
 		o.Brittle = brittle.New("", o.Log)
 		o.Brittle.SetInstances(nil, time.Now())
