autoscale, peers: a part of the load releases no servers

Change: Exchange.Covers reports whether the last sum holds 0.7 of the instances that the store lists. While it does not, plans release no servers (keepAll); orders for more go on. servers_ordered has partial.

--- a/cmd/kumquat-entry/duties.go
+++ b/cmd/kumquat-entry/duties.go
@@ -76,7 +76,7 @@
 func (r *dutyRunner) scaler(api leasedDuties) *autoscale.Runner {
 	return &autoscale.Runner{
 		Provisioner: api, Snapshot: r.state.Snapshot, Predictor: r.state.Predictor, Demand: r.state.Demand, MaxStaleness: r.state.MaxStaleness,
-		OnHold: r.state.Rollouts.InForce, Log: r.log,
+		Covers: r.state.Covers, OnHold: r.state.Rollouts.InForce, Log: r.log,
 	}
 }
 
--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -66,6 +66,9 @@
 	MaxStaleness time.Duration
 	// Known is false until this instance has seen the pool's traffic for long enough.
 	Known bool
+	// Partial is set while this instance does not know what many of the others request: the load is
+	// then at least this, and no servers are released.
+	Partial bool
 }
 
 // Input holds the inputs of a plan.
@@ -192,6 +195,9 @@
 	s.applyZoneLimits(in, &counts, target)
 	s.keepUntilReplaced(in, &counts, target, need)
 	s.keepCover(in, &counts, target, need)
+	if in.Load.Partial {
+		keepAll(in, &counts, target)
+	}
 	orders := s.orders(in, &counts, target)
 	if discovering {
 		return slices.DeleteFunc(orders, func(o Order) bool { return !o.Reclaimable || o.Servers <= counts.present[o.group()] })
--- a/internal/autoscale/cover.go
+++ b/internal/autoscale/cover.go
@@ -55,3 +55,13 @@
 	}
 	return total - worst
 }
+
+// keepAll raises the targets to the servers that run. Where the zone's limit requires it, fewer
+// servers are ordered.
+func keepAll(in Input, counts *serverCounts, target map[groupKey]int) {
+	for _, zone := range in.zones() {
+		key, other := groupKey{zone, true}, groupKey{zone, false}
+		target[key] = max(min(target[key], in.Pool.Scaling.Max-counts.present[other]), counts.present[key])
+		target[other] = max(min(target[other], in.Pool.Scaling.Max-target[key]), counts.present[other])
+	}
+}
--- a/internal/autoscale/cover_test.go
+++ b/internal/autoscale/cover_test.go
@@ -64,3 +64,22 @@
 		}
 	}
 }
+
+// Pattern: the instance that was cut off with the duties takes them again before it hears of the
+// others' requests: it knows a fifth of the load. It must not release servers by that.
+func TestPartialLoadReleasesNoServers(t *testing.T) {
+	c := swapCloud(20)
+	p := pool()
+	p.Scaling.Max = 20
+	scaler := New(DefaultSettings)
+	reported, _ := c.list()
+	in := Input{Pool: p, Servers: reported, Now: c.now, Load: Load{
+		TokensPerSecond: 3 * rate, ServerRate: rate, Slots: 64, Known: true, Partial: true,
+	}}
+	counts := countServers(reported)
+	for _, o := range scaler.Plan(in) {
+		if o.Servers < counts.present[o.group()] {
+			t.Errorf("order %+v releases servers by a part of the load, want all %d kept", o, counts.present[o.group()])
+		}
+	}
+}
--- a/internal/autoscale/run.go
+++ b/internal/autoscale/run.go
@@ -31,6 +31,9 @@
 	Demand      *demand.Meter
 	// MaxStaleness bounds the age of what instances know of each other's requests.
 	MaxStaleness func() time.Duration
+	// Covers reports whether the demand and the running requests that are known here are those of
+	// nearly all instances; nil means always.
+	Covers func(now time.Time) bool
 	// OnHold reports whether the number of a pool's servers says nothing about its spare capacity, so
 	// that no servers are ordered or released; nil means never.
 	OnHold func(pool string, now time.Time) bool
@@ -115,7 +118,7 @@
 	err := r.Provisioner.OrderServers(ctx, fencingToken, o)
 	fields := logrus.Fields{
 		"event": "servers_ordered", "pool": o.Pool, "zone": o.Zone, "reclaimable": o.Reclaimable, "servers": o.Servers, "fence": fencingToken,
-		"tokens_per_s": int(in.Load.TokensPerSecond), "server_rate": int(in.Load.ServerRate), "running": in.Load.Running, "serving": countServers(in.Servers).total(),
+		"tokens_per_s": int(in.Load.TokensPerSecond), "server_rate": int(in.Load.ServerRate), "running": in.Load.Running, "serving": countServers(in.Servers).total(), "partial": in.Load.Partial,
 	}
 	entry := r.Log.WithFields(fields)
 	switch {
@@ -138,6 +141,7 @@
 func (r *Runner) load(pool *fleet.Pool, now time.Time) Load {
 	l := Load{ServerRate: r.Predictor.Rate(pool.Name), TokensPerSecond: r.Demand.Total(pool.Name, now)}
 	l.Known, l.MaxStaleness = r.Demand.Known(pool.Name, now), r.MaxStaleness()
+	l.Partial = r.Covers != nil && !r.Covers(now)
 	if pool.Engine != nil {
 		l.Slots = pool.Engine.Slots
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -235,7 +235,7 @@
 func (i *Instance) dutyContext(stopping <-chan struct{}) DutyContext {
 	return DutyContext{
 		Incarnation: incarnationOf(i.self()), Usage: i.counter, Predictor: i.predictor, Snapshot: i.snapshots.Load, Now: i.now, Demand: i.demand, Rollouts: i.rollouts,
-		AllReported: i.exchange.AllReported, MaxStaleness: i.exchange.MaxAge, Candidate: i.mayCompeteForDuties, SetHolding: i.holding.Store,
+		AllReported: i.exchange.AllReported, MaxStaleness: i.exchange.MaxAge, Covers: i.exchange.Covers, Candidate: i.mayCompeteForDuties, SetHolding: i.holding.Store,
 		StoreEra: i.storeEra, Stopping: stopping,
 	}
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -113,6 +113,8 @@
 	AllReported func(within time.Duration) bool
 	// MaxStaleness bounds the age of what instances know of each other's requests.
 	MaxStaleness func() time.Duration
+	// Covers reports whether what is known of the others' requests is that of nearly all instances.
+	Covers func(now time.Time) bool
 	// Candidate reports whether this instance should compete for the duties, whose lease has
 	// a time to live.
 	Candidate func(leaseTTL time.Duration) bool
--- a/internal/peers/zone.go
+++ b/internal/peers/zone.go
@@ -33,6 +33,22 @@
 	return e.sum
 }
 
+// minCoverage is the share of the listed instances that a sum must hold to stand for all of them.
+const minCoverage = 0.7
+
+// Covers reports whether the last sum holds the states of nearly all instances that the store lists.
+// It does not after a partition, and while aggregators start.
+func (e *Exchange) Covers(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return covers(int(e.freshSum(now).GetInstances()), len(e.listed)+1)
+}
+
+// covers reports whether a sum of so many instances stands for all listed ones.
+func covers(summed, listed int) bool {
+	return float64(max(summed, 1)) >= minCoverage*float64(listed)
+}
+
 // AllReported reports whether the usage counts of every other instance that the store lists
 // arrived within the given time.
 func (e *Exchange) AllReported(within time.Duration) bool {
