rollup: speeds are left out of messages of more than 2,000 servers, and where there are none

Cause: with the lists of the estimate, the work at 3,400 servers takes 61,227 bytes, and a datagram holds 61,440 with all else: sums of the largest fleets would not be sent. Change: no speeds above 2,000 servers, no lists of zeros. Red without the limit: TestWorkOfManyServersFitsADatagram (the 61,227 bytes, want at most 51,200).

--- a/internal/rollup/rollup_test.go
+++ b/internal/rollup/rollup_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	pb "kumquatyard/proto/kumquat/v1"
@@ -262,3 +263,25 @@
 		t.Errorf("%+v is left, want %+v", got, want)
 	}
 }
+
+// The work at the servers of the largest fleet fits into a datagram of 60 KiB, with room for what
+// else a sum holds; speeds are left out where they would not.
+func TestWorkOfManyServersFitsADatagram(t *testing.T) {
+	const most = 50 << 10
+	for _, servers := range []int{90, maxSpeeds, 3400} {
+		work := make(map[uint32]Work)
+		for i := range servers {
+			work[Key(fmt.Sprint("s", i))] = Work{60, 20, 150_000, SpeedSum{400, -3000}, ReportSum{90, 700, 400}}
+		}
+		m := EncodeWork(work)
+		if size := proto.Size(m); size > most {
+			t.Errorf("the work at %d servers takes %d bytes, want at most %d", servers, size, most)
+		}
+		if got, want := len(m.GetSpeedWeights()) > 0, servers <= maxSpeeds; got != want {
+			t.Errorf("speeds of %d servers are told: %v, want %v", servers, got, want)
+		}
+	}
+	for _, w := range EncodeWork(map[uint32]Work{1: {Active: 1}}).GetReportWeights() {
+		t.Errorf("reports of weight %d are told of servers without any", w)
+	}
+}
--- a/internal/rollup/totals.go
+++ b/internal/rollup/totals.go
@@ -117,12 +117,8 @@
 		m.Active = append(m.Active, uint32(w.Active))
 		m.Waiting = append(m.Waiting, uint32(w.Waiting))
 		m.WaitingTokens = append(m.WaitingTokens, uint32(min(w.WaitingTokens, math.MaxUint32)))
-		m.SpeedWeights = append(m.SpeedWeights, uint32(w.Speed.Weight))
-		m.SpeedLogs = append(m.SpeedLogs, int32(w.Speed.Log))
-		m.ReportWeights = append(m.ReportWeights, uint32(w.Reports.Weight))
-		m.ReportLogs = append(m.ReportLogs, int32(w.Reports.Log))
-		m.ReportWaiting = append(m.ReportWaiting, uint32(w.Reports.Waiting))
 	}
+	encodeSpeeds(m, work)
 	return m
 }
 
