--- a/test/misbehaving/clients_test.go
+++ b/test/misbehaving/clients_test.go
@@ -140,8 +140,8 @@
 
 // head returns the head of a request of client n; fields are whole lines.
 func head(path string, n int, fields string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nX-Kumquatyard-Tenant: %s\r\n%s: r%d\r\n%s\r\n",
-		path, standin.Host, apiKey, workspace, standin.HeaderID, n, fields)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n%s: %s\r\n%s: r%d\r\n%s\r\n",
+		path, standin.Host, apiKey, standin.HeaderTenant, workspace, standin.HeaderID, n, fields)
 }
 
 // write writes pieces of a text, and reports whether all were taken.
