connlimit: the test of shared head memory waits for what it needs

Traced by the memory charged: the later head took it before the open one was read.

Change: it waits until exactly the open head's cost is charged, and nobody gives way until the refusal was seen.

--- a/internal/connlimit/door_test.go
+++ b/internal/connlimit/door_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,16 +158,24 @@
 		fmt.Fprintf(&fields, "%x:\r\n", n)
 	}
 	many := strings.Replace(request, "\r\n\r\n", "\r\n"+fields.String()+"\r\n", 1)
-	d := newTestDoor(t, Settings{Heads: membudget.New(2_000_000)}, Rules{Grace: 200 * time.Millisecond})
+	heads := membudget.New(2_000_000)
+	var grace atomic.Int64
+	grace.Store(int64(time.Hour))
+	d := newTestDoor(t, Settings{Heads: heads}, Rules{})
+	d.settings.Rules = func() Rules { return Rules{Grace: time.Duration(grace.Load())} }
 	address := startDoor(t, d, func(http.ResponseWriter, *http.Request) {})
 	if got := status(dial(t, address, many)); got != http.StatusOK {
 		t.Errorf("a single head got status %d, want 200", got)
 	}
+	awaitHeld(t, heads, 0)
+	var scanner headScanner
+	scanner.scan([]byte(many[:len(many)-2]))
 	open := dial(t, address, many[:len(many)-2])
-	time.Sleep(50 * time.Millisecond)
+	awaitHeld(t, heads, scanner.cost())
 	if got := status(dial(t, address, many)); got != http.StatusServiceUnavailable {
 		t.Errorf("a head without memory got status %d, want 503", got)
 	}
+	grace.Store(int64(200 * time.Millisecond))
 	time.Sleep(400 * time.Millisecond)
 	if got := status(dial(t, address, many)); got != http.StatusOK {
 		t.Errorf("a head got status %d, want 200 in place of the one without progress", got)
@@ -175,3 +184,13 @@
 		t.Errorf("the head without progress got status %d, want the end", got)
 	}
 }
+
+// awaitHeld waits until so much of a budget is charged.
+func awaitHeld(t *testing.T, b *membudget.Budget, want int64) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); b.Held() != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d bytes charged, want %d", b.Held(), want)
+		}
+	}
+}
