rollout: slices.Contains and one list of pools in place of copies

Found on the last read: contains wrote slices.Contains again, pools collected keys by hand, and both handlers built the set of listed pools alike.

--- a/internal/rollout/focus.go
+++ b/internal/rollout/focus.go
@@ -45,7 +45,7 @@
 func (r *roll) focusOf(usable []*fleet.Server) map[machine.ID]bool {
 	wanted := max(int(math.Ceil(exposedShare*r.bounds.Share*float64(r.oldServers))), minFocus)
 	usable = slices.DeleteFunc(usable, func(s *fleet.Server) bool {
-		return contains(r.verdict.Outliers, rollup.Key(string(s.ID)))
+		return slices.Contains(r.verdict.Outliers, rollup.Key(string(s.ID)))
 	})
 	order := uint64(r.order.key())
 	slices.SortFunc(usable, func(a, b *fleet.Server) int {
--- a/internal/rollout/roll.go
+++ b/internal/rollout/roll.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -222,22 +223,13 @@
 func badAnswers(cells []Cell, outliers []uint32) int {
 	n := 0
 	for i := range cells {
-		if c := &cells[i]; c.target && !contains(outliers, c.server) {
+		if c := &cells[i]; c.target && !slices.Contains(outliers, c.server) {
 			n += c.Total.Failed
 		}
 	}
 	return n
 }
 
-func contains(list []uint32, key uint32) bool {
-	for _, k := range list {
-		if k == key {
-			return true
-		}
-	}
-	return false
-}
-
 // answers returns the number of answers of the new version.
 func answers(cells []Cell) int {
 	n := 0
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -166,10 +167,7 @@
 
 // Resync implements follow.Handler.
 func (h *OrderHandler) Resync(items []store.Item, now, expiryGraceUntil time.Time) {
-	listed := make(map[string]bool)
-	for _, item := range items {
-		listed[strings.TrimPrefix(item.Key, h.prefix)] = true
-	}
+	listed := listedPools(items, h.prefix)
 	h.Change(items, now, expiryGraceUntil)
 	if !expiryGraceUntil.IsZero() {
 		return // a restored store may have lost the order
@@ -200,11 +198,16 @@
 func (t *Tracker) pools() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var pools []string
-	for pool := range t.orders {
-		pools = append(pools, pool)
+	return slices.Collect(maps.Keys(t.orders))
+}
+
+// listedPools returns the pools whose items below a prefix a list has.
+func listedPools(items []store.Item, prefix string) map[string]bool {
+	listed := make(map[string]bool, len(items))
+	for _, item := range items {
+		listed[strings.TrimPrefix(item.Key, prefix)] = true
 	}
-	return pools
+	return listed
 }
 
 // Statuses returns the handler of the statuses below a prefix.
@@ -221,10 +224,7 @@
 
 // Resync implements follow.Handler.
 func (h *StatusHandler) Resync(items []store.Item, now, expiryGraceUntil time.Time) {
-	listed := make(map[string]bool)
-	for _, item := range items {
-		listed[strings.TrimPrefix(item.Key, h.prefix)] = true
-	}
+	listed := listedPools(items, h.prefix)
 	h.Change(items, now, expiryGraceUntil)
 	for _, pool := range h.tracker.pools() {
 		if !listed[pool] {
