forecast: a server's recent reports are read once per prediction

Found on the last read: Predict, learn and learnService computed them twice, the first on the path of each request and candidate. Behaviour-preserving; tests of forecast, serve and autoscale pass, make lint is clean.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -157,7 +157,8 @@
 	e := pred.engine(id)
 	e.pool = pool
 	speed := pred.speed(pool)
-	slowdown := pred.slowdown(e, speed, now)
+	recent := pred.recentReports(e, now)
+	slowdown := pred.slowdownBy(e, speed, recent, now)
 	work := pred.work(e, now, speed.netDrainRate()/slowdown)
 	cached := 0
 	if p != nil {
@@ -165,7 +166,6 @@
 	}
 	est := Estimate{Cached: cached, Work: work, Slowdown: slowdown, Uneven: speed.reports || speed.uneven, OthersAge: now.Sub(pred.othersAt), Reports: speed.reports, ServiceTime: speed.serviceTime}
 	if speed.reports {
-		recent := pred.recentReports(e, now)
 		est.Queue = recent.current * recent.waiting
 	}
 	if p != nil {
--- a/internal/forecast/slowdown.go
+++ b/internal/forecast/slowdown.go
@@ -154,8 +154,13 @@
 
 // slowdown returns how much longer than at the pool's learned rate a server's work takes.
 func (pred *Predictor) slowdown(e *engine, s *speed, now time.Time) float64 {
+	return pred.slowdownBy(e, s, pred.recentReports(e, now), now)
+}
+
+// slowdownBy is slowdown by what the server reported lately.
+func (pred *Predictor) slowdownBy(e *engine, s *speed, recent recentReports, now time.Time) float64 {
 	pred.refresh(now)
-	return s.ratio(pred.learnedLevel(e, now)) * s.momentary(pred.recentReports(e, now))
+	return s.ratio(pred.learnedLevel(e, now)) * s.momentary(recent)
 }
 
 // refresh computes the means over the servers of each pool.
@@ -192,8 +197,9 @@
 // with ownTokens to prefill after tokensAhead.
 func (pred *Predictor) learn(e *engine, s *speed, tokensAhead, ownTokens int, took time.Duration, now time.Time) {
 	usual := s.firstToken(tokensAhead + ownTokens)
-	slowdown := pred.slowdown(e, s, now)
-	momentary := s.momentary(pred.recentReports(e, now))
+	recent := pred.recentReports(e, now)
+	slowdown := pred.slowdownBy(e, s, recent, now)
+	momentary := s.momentary(recent)
 	s.observeLag(took-time.Duration(float64(usual)*slowdown), now)
 	s.observe(tokensAhead, ownTokens, time.Duration(float64(took)/slowdown))
 	if took <= 0 || ownTokens <= 0 {
@@ -210,12 +216,13 @@
 	if !s.reports || took <= 0 || e.waiting > 0 || now.Sub(e.reportedAt) >= maxReportAge {
 		return
 	}
-	slowdown := pred.slowdown(e, s, now)
+	recent := pred.recentReports(e, now)
+	slowdown := pred.slowdownBy(e, s, recent, now)
 	usual := time.Duration(float64(took) / slowdown)
 	if s.serviceTime == 0 {
 		s.serviceTime = usual
 	}
-	momentary := s.momentary(pred.recentReports(e, now))
+	momentary := s.momentary(recent)
 	pred.observeRatio(e, s, logRatio(took, s.serviceTime, momentary), 1, now)
 	s.serviceTime += time.Duration(serviceTimeWeight * float64(usual-s.serviceTime))
 }
